--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+
+.PHONY: setup test lint format demo scenarios bench thrift
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q --require-hashes -r requirements.lock
+	$(PYTHON) -m pip install -q --no-deps --no-build-isolation -e .
+	touch $@
+
+test: setup
+	$(PYTHON) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+demo: setup
+	$(PYTHON) -m medlardoor.standins.demo
+
+scenarios: setup
+	$(PYTHON) -m medlardoor.scenarios.runner scenarios
+
+bench: setup
+	$(PYTHON) -m medlardoor.bench.run
+
+# Needs the Debian package thrift-compiler; the generated code is committed.
+thrift:
+	thrift --gen py:slots,enum -out medlardoor/wire/generated \
+	  medlardoor/wire/medlardoor.thrift
+	rm -f medlardoor/wire/generated/medlardoor_messages/constants.py
+	sed -i "s/, 'constants'//" \
+	  medlardoor/wire/generated/medlardoor_messages/__init__.py
--- /dev/null
+++ b/medlardoor/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API and its page."""
--- /dev/null
+++ b/medlardoor/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests to the local upstream."""
--- /dev/null
+++ b/medlardoor/adoption/__init__.py
@@ -0,0 +1,1 @@
+"""Adoption of promoted documents."""
--- /dev/null
+++ b/medlardoor/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decision classes."""
--- /dev/null
+++ b/medlardoor/blackboard/__init__.py
@@ -0,0 +1,1 @@
+"""State shared by the controllers of one node."""
--- /dev/null
+++ b/medlardoor/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/medlardoor/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, documents and their checks."""
--- /dev/null
+++ b/medlardoor/config/policy.py
@@ -0,0 +1,110 @@
+"""Data classes of a checked operator document."""
+
+import dataclasses
+
+__all__ = ["Kind", "Objective", "Policy", "ServicePolicy"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Objective:
+    """Service-level objective of one kind.
+
+    Attributes:
+        availability: Share of requests to answer well, such as 0.995.
+        latency_ms: Longest time for a request that counts as answered well.
+        window_short_s: Short burn window, in seconds.
+        window_long_s: Long burn window, in seconds.
+    """
+
+    availability: float
+    latency_ms: int
+    window_short_s: int
+    window_long_s: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of request.
+
+    Attributes:
+        name: Name, unique in the document.
+        team: Team that the kind belongs to.
+        service: Service that the kind enters at.
+        method: HTTP method.
+        path_prefix: Prefix of the path; the longest match wins.
+        importance_class: Name of its class.
+        rank: Importance; 0 is the least important class.
+        idempotent: Whether a request may run more than once.
+        weight: Weight of one answered request in goodput.
+        retry_budget: Retries that one request may spend in the whole chain.
+        max_wait_ms: Longest wait in the queue of one node.
+        timeout_ms: Time limit if the caller states none.
+        objective: Service-level objective.
+    """
+
+    name: str
+    team: str
+    service: str
+    method: str
+    path_prefix: str
+    importance_class: str
+    rank: int
+    idempotent: bool
+    weight: float
+    retry_budget: int
+    max_wait_ms: int
+    timeout_ms: int
+    objective: Objective
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicePolicy:
+    """Limits of one service.
+
+    Attributes:
+        max_queue: Most requests that wait in one node.
+        slots: Concurrency limit of one upstream if it reports none.
+        ramp_s: Time that a cold upstream takes to full load, in seconds.
+    """
+
+    max_queue: int = 256
+    slots: int = 64
+    ramp_s: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """A whole document.
+
+    Attributes:
+        environment: Name of the environment.
+        importance_classes: Class names, most important first.
+        kinds: Kinds by name.
+        services: Limits by service.
+    """
+
+    environment: str
+    importance_classes: tuple[str, ...]
+    kinds: dict[str, Kind]
+    services: dict[str, ServicePolicy]
+
+    @property
+    def top_rank(self) -> int:
+        """Rank of the most important class."""
+        return len(self.importance_classes) - 1
+
+    def kind_for(self, service: str, method: str, path: str) -> Kind | None:
+        """Finds the kind of a request by the longest matching prefix."""
+        best = None
+        for kind in self.kinds.values():
+            if kind.service != service or kind.method != method:
+                continue
+            if not path.startswith(kind.path_prefix):
+                continue
+            if best is None or len(kind.path_prefix) > len(best.path_prefix):
+                best = kind
+        return best
+
+    def service(self, name: str) -> ServicePolicy:
+        """Limits of a service, defaults if the document names none."""
+        return self.services.get(name) or ServicePolicy()
--- /dev/null
+++ b/medlardoor/config/settings.py
@@ -0,0 +1,132 @@
+"""Validated settings of the programs."""
+
+import pydantic
+
+__all__ = [
+    "AddressSettings",
+    "AdminSettings",
+    "AdmissionSettings",
+    "GossipSettings",
+    "LedgerSettings",
+    "NodeSettings",
+    "QuarantineSettings",
+    "Settings",
+    "StoreSettings",
+    "UpstreamSettings",
+]
+
+
+class Settings(pydantic.BaseModel):
+    """Base of all settings models: unknown keys are errors."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class AddressSettings(Settings):
+    """An IP address and a port; port 0 lets the kernel choose."""
+
+    host: str = "127.0.0.1"
+    port: int = pydantic.Field(default=0, ge=0, le=65_535)
+
+
+class UpstreamSettings(Settings):
+    """The upstream that the node stands beside."""
+
+    host: str = "127.0.0.1"
+    port: int = pydantic.Field(ge=1, le=65_535)
+    max_connections: int = pydantic.Field(default=512, ge=1)
+    slots: int = pydantic.Field(default=64, ge=1)
+    report_path: str = "/load"
+    report_interval_s: float = pydantic.Field(default=0.5, gt=0)
+    report_max_age_s: float = pydantic.Field(default=2.0, gt=0)
+    connect_timeout_s: float = pydantic.Field(default=1.0, gt=0)
+
+
+class StoreSettings(Settings):
+    """The object API of the platform."""
+
+    url: str = "http://127.0.0.1:7400"
+    timeout_s: float = pydantic.Field(default=2.0, gt=0)
+    watch_s: float = pydantic.Field(default=30.0, gt=0)
+
+
+class GossipSettings(Settings):
+    """Membership and failure detection."""
+
+    interval_s: float = pydantic.Field(default=1.0, gt=0)
+    fanout: int = pydantic.Field(default=2, ge=1, le=16)
+    max_records: int = pydantic.Field(default=16, ge=1, le=16)
+    suspect_after_s: float = pydantic.Field(default=3.0, gt=0)
+    fail_after_s: float = pydantic.Field(default=6.0, gt=0)
+    forget_after_s: float = pydantic.Field(default=60.0, gt=0)
+    isolation_s: float = pydantic.Field(default=10.0, gt=0)
+    directory_interval_s: float = pydantic.Field(default=2.0, gt=0)
+
+
+class AdmissionSettings(Settings):
+    """Admission level, queue and concurrency limit."""
+
+    interval_s: float = pydantic.Field(default=0.1, gt=0)
+    min_limit: int = pydantic.Field(default=2, ge=1)
+    latency_factor: float = pydantic.Field(default=2.0, gt=1)
+    baseline_window_s: float = pydantic.Field(default=60.0, gt=0)
+    shrink_factor: float = pydantic.Field(default=0.9, gt=0, lt=1)
+    stale_share: float = pydantic.Field(default=0.1, gt=0, le=1)
+    cold_share: float = pydantic.Field(default=0.1, gt=0, le=1)
+
+
+class LedgerSettings(Settings):
+    """Records of idempotency keys."""
+
+    keep_s: float = pydantic.Field(default=600.0, gt=0)
+    max_records: int = pydantic.Field(default=50_000, ge=1)
+    max_answer_bytes: int = pydantic.Field(default=16_384, ge=0)
+    max_bytes: int = pydantic.Field(default=16_000_000, ge=0)
+
+
+class QuarantineSettings(Settings):
+    """Crash attribution."""
+
+    max_crashes: int = pydantic.Field(default=3, ge=1)
+    suspicion_s: float = pydantic.Field(default=600.0, gt=0)
+    quarantine_s: float = pydantic.Field(default=3_600.0, gt=0)
+    max_suspects: int = pydantic.Field(default=1_000, ge=1)
+
+
+class AdminSettings(Settings):
+    """Administration API; without tokens only loopback is allowed."""
+
+    host: str = "127.0.0.1"
+    port: int = pydantic.Field(default=0, ge=0, le=65_535)
+    tokens: dict[str, str] = pydantic.Field(default_factory=dict)
+
+
+class NodeSettings(Settings):
+    """Settings of the node process.
+
+    `cluster_key` is the shared secret that authenticates messages between
+    nodes. `seed_addresses` are gossip addresses ``host:port`` of other nodes
+    of the service, asked when the platform is away at the start.
+    """
+
+    environment: str
+    service: str
+    instance: str
+    failure_domain: str
+    cluster_key: str = pydantic.Field(min_length=16)
+    seed: int = 0
+    caller: AddressSettings = AddressSettings()
+    peer: AddressSettings = AddressSettings()
+    egress: AddressSettings = AddressSettings()
+    gossip: AddressSettings = AddressSettings()
+    admin: AdminSettings = AdminSettings()
+    upstream: UpstreamSettings
+    store: StoreSettings = StoreSettings()
+    seed_addresses: tuple[str, ...] = ()
+    membership: GossipSettings = GossipSettings()
+    admission: AdmissionSettings = AdmissionSettings()
+    ledger: LedgerSettings = LedgerSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
+    drain_timeout_s: float = pydantic.Field(default=60.0, gt=0)
+    forward_s: float = pydantic.Field(default=3.0, ge=0)
+    log_level: str = "INFO"
--- /dev/null
+++ b/medlardoor/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of requests with an idempotency key."""
--- /dev/null
+++ b/medlardoor/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of service groups and discovery of services."""
--- /dev/null
+++ b/medlardoor/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs beside one upstream instance."""
--- /dev/null
+++ b/medlardoor/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of requests that crash upstreams."""
--- /dev/null
+++ b/medlardoor/report/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and service-level burn."""
--- /dev/null
+++ b/medlardoor/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and retry decisions."""
--- /dev/null
+++ b/medlardoor/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the node that receives a call."""
--- /dev/null
+++ b/medlardoor/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenario scripts on real processes."""
--- /dev/null
+++ b/medlardoor/shutdown/__init__.py
@@ -0,0 +1,1 @@
+"""Planned stops."""
--- /dev/null
+++ b/medlardoor/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and demonstrations."""
--- /dev/null
+++ b/medlardoor/store/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the object API of the platform."""
--- /dev/null
+++ b/medlardoor/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes."""
--- /dev/null
+++ b/medlardoor/wire/codec.py
@@ -0,0 +1,124 @@
+"""Encoding of messages between nodes, with size limits and a MAC."""
+
+import base64
+import binascii
+import dataclasses
+
+import result
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from medlardoor import errors
+from medlardoor.wire import authentication
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "MAX_HEADER_BYTES",
+    "MalformedMessage",
+    "decode",
+    "decode_header",
+    "encode",
+    "encode_header",
+    "open_datagram",
+    "seal_datagram",
+]
+
+MAX_DATAGRAM_BYTES = 1_400
+MAX_HEADER_BYTES = 2_048
+MAX_ELEMENTS = 256
+
+_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
+    string_length_limit=1_000_000, container_length_limit=MAX_ELEMENTS
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class MalformedMessage(errors.Failure):
+    """Bytes that are not a valid message of a node.
+
+    Attributes:
+        detail: What was wrong with them.
+    """
+
+    detail: str
+
+    @property
+    def message(self) -> str:
+        """One sentence for a log line or an operator."""
+        return f"Malformed message: {self.detail}"
+
+
+def encode(struct) -> bytes:
+    """Encodes a thrift struct with the compact protocol."""
+    buffer = TTransport.TMemoryBuffer()
+    struct.write(_FACTORY.getProtocol(buffer))
+    return buffer.getvalue()
+
+
+def decode(struct_type: type, data: bytes) -> result.Result:
+    """Decodes a thrift struct.
+
+    Args:
+        struct_type: Generated class to decode into.
+        data: Encoded bytes, already authenticated and limited in size.
+
+    Returns:
+        The struct, or `MalformedMessage`.
+    """
+    struct = struct_type()
+    try:
+        struct.read(_FACTORY.getProtocol(TTransport.TMemoryBuffer(data)))
+    except Exception as error:  # noqa: BLE001
+        # The decoder raises many builtin types for malformed input, among
+        # them EOFError, struct.error, UnicodeDecodeError and RecursionError.
+        return result.Err(MalformedMessage(type(error).__name__))
+    return result.Ok(struct)
+
+
+def seal_datagram(
+    message: ttypes.Message, key: authentication.ClusterKey
+) -> bytes:
+    """Encodes a message and puts its MAC in front."""
+    data = encode(message)
+    return key.mac(data) + data
+
+
+def open_datagram(
+    data: bytes, key: authentication.ClusterKey
+) -> result.Result[ttypes.Message, MalformedMessage]:
+    """Checks size and MAC of a datagram and decodes it."""
+    if len(data) > MAX_DATAGRAM_BYTES:
+        return result.Err(MalformedMessage("too long"))
+    mac = data[: authentication.MAC_BYTES]
+    body = data[authentication.MAC_BYTES :]
+    if not key.verify(body, mac):
+        return result.Err(MalformedMessage("wrong MAC"))
+    return decode(ttypes.Message, body)
+
+
+def encode_header(struct, key: authentication.ClusterKey) -> bytes:
+    """Encodes a struct as a header value ``<base64url>.<base64url MAC>``."""
+    data = encode(struct)
+    return (
+        base64.urlsafe_b64encode(data)
+        + b"."
+        + base64.urlsafe_b64encode(key.mac(data))
+    )
+
+
+def decode_header(
+    struct_type: type, value: bytes, key: authentication.ClusterKey
+) -> result.Result:
+    """Checks and decodes a header value made by `encode_header`."""
+    if len(value) > MAX_HEADER_BYTES:
+        return result.Err(MalformedMessage("too long"))
+    body, _, mac = value.partition(b".")
+    try:
+        data = base64.urlsafe_b64decode(body)
+        code = base64.urlsafe_b64decode(mac)
+    except binascii.Error:
+        return result.Err(MalformedMessage("not base64"))
+    if not key.verify(data, code):
+        return result.Err(MalformedMessage("wrong MAC"))
+    return decode(struct_type, data)
