--- /dev/null
+++ b/medlardoor/ledger/state.py
@@ -0,0 +1,163 @@
+"""State of one idempotency key."""
+
+import dataclasses
+import enum
+
+from medlardoor import errors
+
+__all__ = ["RECORD_BYTES", "Answer", "KeyBudget", "Record", "State"]
+
+# Memory of one record without its answer, with its entries in the tables;
+# measured by `bench/ledger_slopes.py`.
+RECORD_BYTES = 450
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Complete answer of an upstream, kept for a resent request.
+
+    Attributes:
+        status: HTTP status.
+        headers: Header names and values.
+        body: Complete body.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of the header fields and the body."""
+        fields = sum(len(name) + len(value) for name, value in self.headers)
+        return fields + len(self.body)
+
+
+class KeyBudget:
+    """Retries left to all runs of one key.
+
+    The record of the key and the run in progress share one object.
+
+    Args:
+        total: Retries for the whole chain and all resends together.
+    """
+
+    __slots__ = ("_remaining", "_total")
+
+    def __init__(self, total: int):
+        self._total = total
+        self._remaining = total
+
+    @property
+    def remaining(self) -> int:
+        """Retries that are neither spent nor reserved."""
+        return self._remaining
+
+    @property
+    def untouched(self) -> bool:
+        """Whether nothing was spent or reserved."""
+        return self._remaining == self._total
+
+    def spend(self) -> bool:
+        """Spends one retry if there is one."""
+        if self._remaining <= 0:
+            return False
+        self._remaining -= 1
+        return True
+
+    def reserve(self) -> int:
+        """Takes the share of one outgoing call, half rounded up."""
+        share = (self._remaining + 1) // 2
+        self._remaining -= share
+        return share
+
+    def give_back(self, unspent: int) -> None:
+        """Returns the unspent part of a share."""
+        restored = self._remaining + max(unspent, 0)
+        self._remaining = min(restored, self._total)
+
+
+class State(enum.Enum):
+    """State of a record."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+_OUTCOMES = {
+    State.RUNNING: errors.Outcome.UNKNOWN,
+    State.ANSWERED: errors.Outcome.ANSWERED,
+    State.NOT_RUN: errors.Outcome.NOT_RUN,
+    State.UNKNOWN: errors.Outcome.UNKNOWN,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What the owner knows of one key.
+
+    Attributes:
+        digest: Digest of the request that first used the key.
+        budget: Retries left.
+        idempotent: Whether an unknown outcome permits another run.
+        state: State of the last run.
+        in_doubt: Whether any run had an unknown outcome.
+        paid: Whether the last run cost one retry.
+        dispatched: Whether any run sent something to an upstream or peer.
+        reason: Why the last run has no answer.
+        finished_at: End of the last run, in seconds.
+        answer: Kept answer.
+    """
+
+    digest: bytes
+    budget: KeyBudget
+    idempotent: bool
+    state: State = State.RUNNING
+    in_doubt: bool = False
+    paid: bool = False
+    dispatched: bool = False
+    reason: errors.Reason = errors.Reason.UPSTREAM_FAILED
+    finished_at: float = 0.0
+    answer: Answer | None = None
+
+    @property
+    def outcome(self) -> errors.Outcome:
+        """What is known about the request over all its runs."""
+        return _OUTCOMES[self.state]
+
+    @property
+    def size_bytes(self) -> int:
+        """Memory that the record is charged with."""
+        return RECORD_BYTES + (self.answer.size_bytes if self.answer else 0)
+
+    @property
+    def unused(self) -> bool:
+        """Whether nothing of the request was ever dispatched."""
+        return not self.dispatched and self.budget.untouched
+
+    def refuse(self, reason: errors.Reason, detail: str) -> errors.Refusal:
+        """Refusal that says what is known about the request."""
+        return errors.Refusal(
+            self.outcome,
+            reason,
+            detail,
+            unspent_budget=self.budget.remaining,
+        )
+
+    def refund(self) -> None:
+        """Returns the retry that a run cost which was not dispatched."""
+        if self.paid:
+            self.budget.give_back(1)
+        self.paid = False
+
+    def settle(self, outcome: errors.Outcome) -> None:
+        """Records the outcome of a run; doubt about an earlier one stays."""
+        self.in_doubt |= outcome is errors.Outcome.UNKNOWN
+        if outcome is errors.Outcome.ANSWERED:
+            self.state = State.ANSWERED
+        elif self.in_doubt:
+            self.state = State.UNKNOWN
+        else:
+            self.state = State.NOT_RUN
--- /dev/null
+++ b/medlardoor/ledger/usage.py
@@ -0,0 +1,37 @@
+"""Bitmap of used keys, kept longer than their records."""
+
+__all__ = ["UsedKeys"]
+
+KEYS_PER_CHUNK = 4_096
+
+
+class UsedKeys:
+    """Bitmap of the sequence numbers that have had a record."""
+
+    def __init__(self):
+        self._chunks: dict[int, bytearray] = {}
+
+    def __contains__(self, sequence: int) -> bool:
+        chunk = self._chunks.get(sequence // KEYS_PER_CHUNK)
+        if chunk is None:
+            return False
+        offset = sequence % KEYS_PER_CHUNK
+        return bool(chunk[offset >> 3] & (1 << (offset & 7)))
+
+    def add(self, sequence: int) -> None:
+        """Marks a key as used."""
+        number, offset = divmod(sequence, KEYS_PER_CHUNK)
+        if number not in self._chunks:
+            self._chunks[number] = bytearray(KEYS_PER_CHUNK // 8)
+        self._chunks[number][offset >> 3] |= 1 << (offset & 7)
+
+    def discard(self, sequence: int) -> None:
+        """Marks a key, marked before, as unused."""
+        number, offset = divmod(sequence, KEYS_PER_CHUNK)
+        self._chunks[number][offset >> 3] &= ~(1 << (offset & 7))
+
+    def drop_through(self, sequence: int) -> None:
+        """Frees chunks whose keys have all expired."""
+        first_kept = (sequence + 1) // KEYS_PER_CHUNK
+        for number in [n for n in self._chunks if n < first_kept]:
+            del self._chunks[number]
--- /dev/null
+++ b/medlardoor/quarantine/fingerprints.py
@@ -0,0 +1,32 @@
+"""Fingerprints of requests that may crash an upstream."""
+
+import hashlib
+
+__all__ = ["BODY_PREFIX_BYTES", "FINGERPRINT_BYTES", "fingerprint"]
+
+BODY_PREFIX_BYTES = 65_536
+FINGERPRINT_BYTES = 16
+
+
+def fingerprint(
+    kind: str, method: str, target: str, body_prefix: bytes
+) -> bytes:
+    """Hashes what makes two requests the same for crash attribution.
+
+    Args:
+        kind: Kind of request.
+        method: HTTP method.
+        target: Path and query.
+        body_prefix: Start of the body; at most `BODY_PREFIX_BYTES` count.
+
+    Returns:
+        `FINGERPRINT_BYTES` bytes.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for field in (kind, method, target):
+        data = field.encode()
+        # The length keeps neighbouring fields apart.
+        digest.update(len(data).to_bytes(4, "big"))
+        digest.update(data)
+    digest.update(body_prefix[:BODY_PREFIX_BYTES])
+    return digest.digest()
