--- /dev/null
+++ b/medlardoor/admission/controller.py
@@ -0,0 +1,338 @@
+"""Admission of calls to the local upstream."""
+
+import dataclasses
+import random
+
+from medlardoor import errors
+from medlardoor.admission import (
+    levels,
+    limits,
+    queueing,
+    refusals,
+    service_times,
+)
+from medlardoor.blackboard import board as board_module
+from medlardoor.config import policy as policy_module
+from medlardoor.config import settings as settings_module
+from medlardoor.node import context
+
+__all__ = [
+    "AdmissionController",
+    "Admitted",
+    "Completion",
+    "Drop",
+    "Queued",
+    "Refused",
+    "Start",
+]
+
+# Part of the allowed wait that the queue is kept below. The rest absorbs
+# bursts shorter than the adaptation of the level.
+_TARGET_SHARE = 0.2
+_MAX_TARGET_WAIT_S = 0.1
+
+# Weight of the newest interval in the mean rate of completions.
+_RATE_WEIGHT = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """The call holds a slot and starts now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queued:
+    """The call waits; `Start` or `Drop` follows."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The call is not run here.
+
+    Attributes:
+        refusal: Why.
+    """
+
+    refusal: errors.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """A queued call holds a slot and starts now.
+
+    Attributes:
+        call_id: The call.
+    """
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drop:
+    """A queued call is not run here.
+
+    Attributes:
+        call_id: The call.
+        refusal: Why.
+    """
+
+    call_id: int
+    refusal: errors.Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completion:
+    """How a run on the upstream ended.
+
+    Attributes:
+        latency_s: Time from start to end, in seconds.
+        outcome: What is known about the run.
+        shed: Whether the upstream refused the request because of its load.
+    """
+
+    latency_s: float
+    outcome: errors.Outcome
+    shed: bool = False
+
+
+class AdmissionController:
+    """Writes the topic `limits`.
+
+    Args:
+        settings: Settings of admission.
+        board: Blackboard.
+        generator: Source of the spread of retry hints.
+        limit: Concurrency limit; an `AdaptiveLimit` if None.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.AdmissionSettings,
+        board: board_module.Blackboard,
+        generator: random.Random,
+        limit: limits.ConcurrencyLimit | None = None,
+    ):
+        self._settings = settings
+        self._board = board
+        self._limit = limit or limits.AdaptiveLimit(settings, board)
+        self._level = levels.AdmissionLevel()
+        self._queue = queueing.PriorityQueue()
+        self._times = service_times.ServiceTimes()
+        self._floor = refusals.RefusedRanks(board)
+        self._hints = refusals.RetryHints(generator)
+        self._running: dict[int, context.CallContext] = {}
+        self._drops: list[Drop] = []
+        self._adapted_at: float | None = None
+        self._completions = 0
+        self._rate: float | None = None
+        self._max_wait_s = 1.0
+
+    def offer(
+        self, call: context.CallContext, now: float
+    ) -> Admitted | Queued | Refused:
+        """Decides on a new call.
+
+        A call below the admission level still runs if a slot is free and
+        nothing waits, because refusing it would help nobody; the floor that
+        peers' refusals set holds even then. It still queues if something of
+        a lower rank waits, because that has to be refused before it.
+
+        Args:
+            call: The call; its id is unique in this node.
+            now: Current time, in seconds.
+        """
+        self._level.record(call.level)
+        self._max_wait_s += (call.max_wait_s - self._max_wait_s) * 0.01
+        if now + self._times.expected(call.kind, now) > call.deadline:
+            return self._refuse(call, errors.Reason.DEADLINE_EXCEEDED)
+        room = len(self._running) < self._limit.limit(now)
+        if room and not self._queue and call.level >= self._floor.level(now):
+            self._run(call, now)
+            self._publish(now)
+            return Admitted()
+        lowest = self._queue.lowest_rank
+        outranks = lowest is not None and lowest < call.rank
+        if call.level < self._effective_level(now) and not outranks:
+            return self._refuse(call, errors.Reason.OVERLOAD)
+        return self._enqueue(call, now)
+
+    def cancel(self, call_id: int, now: float) -> list[Start | Drop]:
+        """Ends a call whose caller has gone, queued or running.
+
+        Args:
+            call_id: The call; an unknown one is ignored.
+            now: Current time, in seconds.
+
+        Returns:
+            What to do with other calls.
+        """
+        self._queue.cancel(call_id)
+        self._running.pop(call_id, None)
+        return self._fill(now)
+
+    def finish(
+        self, call_id: int, completion: Completion, now: float
+    ) -> list[Start | Drop]:
+        """Frees the slot of a call.
+
+        Args:
+            call_id: The call; one that was cancelled before is ignored.
+            completion: How its run ended.
+            now: Current time, in seconds.
+
+        Returns:
+            What to do with other calls.
+        """
+        call = self._running.pop(call_id, None)
+        if call is not None:
+            self._learn(call, completion, now)
+        return self._fill(now)
+
+    def tick(self, now: float) -> list[Start | Drop]:
+        """Adapts level and limit, and drops calls that are late.
+
+        Args:
+            now: Current time, in seconds.
+
+        Returns:
+            What to do with queued calls.
+        """
+        if self._adapted_at is None:
+            self._adapted_at = now
+        self._limit.tick(now)
+        elapsed_s = now - self._adapted_at
+        if elapsed_s >= self._settings.interval_s * 0.9:
+            self._adapted_at = now
+            self._adapt(elapsed_s, now)
+        expected = self._times.expected
+        for entry in self._queue.expire(now, lambda kind: expected(kind, now)):
+            self._drop_late(entry, now)
+        return self._fill(now)
+
+    def report_handoff_failed(self, rank: int, now: float) -> None:
+        """Notes that a call was refused after peers refused it too.
+
+        Args:
+            rank: Rank of the call.
+            now: Current time, in seconds.
+        """
+        self._floor.refuse(rank, now)
+        self._publish(now)
+
+    def restart_upstream(self, now: float) -> None:
+        """Begins the cold ramp; runs of the old process have ended.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        self._limit.restart(now)
+        self._publish(now)
+
+    def _policy(self) -> policy_module.ServicePolicy:
+        policy = self._board.policy.policy
+        if policy is None:
+            return policy_module.ServicePolicy()
+        return policy.service(self._board.service)
+
+    def _effective_level(self, now: float) -> int:
+        return max(self._level.value, self._floor.level(now))
+
+    def _enqueue(self, call, now) -> Queued | Refused:
+        self._queue.push(call, now)
+        if len(self._queue) > self._policy().max_queue:
+            evicted = self._queue.evict()
+            if evicted.call.call_id == call.call_id:
+                return self._refuse(call, errors.Reason.OVERLOAD)
+            self._drop(evicted.call, errors.Reason.OVERLOAD)
+        self._publish(now)
+        return Queued()
+
+    def _run(self, call, now) -> None:
+        self._running[call.call_id] = call
+        self._limit.started(len(self._running), now)
+
+    def _learn(self, call, completion, now) -> None:
+        ok = completion.outcome is errors.Outcome.ANSWERED
+        self._completions += 1
+        if ok and not completion.shed:
+            self._times.record(call.kind, completion.latency_s, now)
+        self._limit.finished(
+            call.kind, completion.latency_s, ok, completion.shed, now
+        )
+
+    def _fill(self, now) -> list[Start | Drop]:
+        actions: list[Start | Drop] = []
+        limit = self._limit.limit(now)
+        while self._queue and len(self._running) < limit:
+            entry = self._queue.pop()
+            service_s = self._times.expected(entry.call.kind, now)
+            if not entry.can_start(now, service_s):
+                self._drop_late(entry, now)
+                continue
+            self._run(entry.call, now)
+            actions.append(Start(entry.call.call_id))
+        actions += self._drops
+        self._drops = []
+        self._publish(now)
+        return actions
+
+    def _adapt(self, elapsed_s: float, now: float) -> None:
+        rate = self._completions / elapsed_s
+        self._completions = 0
+        if self._rate is None:
+            self._rate = rate
+        self._rate += (rate - self._rate) * _RATE_WEIGHT
+        capacity_rate = self._capacity_rate(now)
+        if capacity_rate is None:
+            return
+        wait_s = min(_MAX_TARGET_WAIT_S, self._max_wait_s * _TARGET_SHARE)
+        self._level.adapt(
+            capacity_rate * self._settings.interval_s,
+            len(self._queue),
+            capacity_rate * wait_s,
+        )
+        self._hints.update(
+            len(self._queue),
+            capacity_rate,
+            self._level.offered / self._settings.interval_s,
+        )
+
+    def _capacity_rate(self, now: float) -> float | None:
+        """Calls that can start in a second; None if it is not known yet."""
+        if self._queue and self._rate:
+            return self._rate
+        mean_s = self._times.mean_s
+        if not mean_s:
+            return None
+        return max(self._rate or 0.0, self._limit.limit(now) / mean_s)
+
+    def _refuse(self, call, reason) -> Refused:
+        return Refused(self._refusal(call, reason))
+
+    def _refusal(self, call, reason) -> errors.Refusal:
+        return errors.Refusal(
+            errors.Outcome.NOT_RUN,
+            reason,
+            retry_after_ms=self._hints.retry_after_ms(reason),
+            unspent_budget=call.budget,
+        )
+
+    def _drop_late(self, entry, now) -> None:
+        service_s = self._times.expected(entry.call.kind, now)
+        reason = errors.Reason.QUEUE_TIMEOUT
+        if now + service_s > entry.call.deadline:
+            reason = errors.Reason.DEADLINE_EXCEEDED
+        self._drop(entry.call, reason)
+
+    def _drop(self, call, reason) -> None:
+        self._drops.append(Drop(call.call_id, self._refusal(call, reason)))
+
+    def _publish(self, now: float) -> None:
+        topic = self._board.limits
+        topic.limit = self._limit.limit(now)
+        topic.in_flight = len(self._running)
+        topic.queued = len(self._queue)
+        topic.level = self._level.value
+        topic.effective_level = self._effective_level(now)
+        topic.refused_rank = self._floor.own_rank(now)
+        topic.warmth_percent = self._limit.warmth_percent(now)
--- /dev/null
+++ b/medlardoor/admission/levels.py
@@ -0,0 +1,106 @@
+"""Levels of calls and the adaptation of the admission level.
+
+References:
+    Zhou et al., "Overload Control for Scaling WeChat Microservices", 2018
+    (DAGOR).
+"""
+
+import hashlib
+
+__all__ = ["LEVELS_PER_RANK", "AdmissionLevel", "level_of"]
+
+LEVELS_PER_RANK = 128
+
+# Share of the older counts that is kept at each adaptation: with intervals
+# of 100 ms the histogram reflects about the last half second.
+_HISTOGRAM_MEMORY = 0.8
+
+# Largest lowering of the level in one interval. Steps double from 1, so one
+# rank is passed in 8 intervals and each further rank in 2.
+_MAX_STEP_DOWN = 64
+
+# Share of the difference between the queue and its target that is corrected
+# within one interval.
+_QUEUE_GAIN = 0.5
+
+
+def level_of(rank: int, chain_id: bytes) -> int:
+    """Level of a call.
+
+    Args:
+        rank: Importance rank of its kind.
+        chain_id: Identifier of its chain.
+
+    Returns:
+        ``rank * 128`` plus a hash of the chain id below 128 that is the same
+        in every process.
+    """
+    digest = hashlib.blake2b(chain_id, digest_size=1).digest()
+    return rank * LEVELS_PER_RANK + digest[0] % LEVELS_PER_RANK
+
+
+class AdmissionLevel:
+    """Lowest level that a node admits, from a histogram of recent levels.
+
+    Attributes:
+        value: Admission level in force; 0 admits everything.
+    """
+
+    def __init__(self):
+        self.value = 0
+        self._offered: dict[int, float] = {}
+        self._step = 1
+
+    def record(self, level: int) -> None:
+        """Counts one offered call.
+
+        Args:
+            level: Level of the call.
+        """
+        self._offered[level] = self._offered.get(level, 0.0) + 1.0
+
+    @property
+    def offered(self) -> float:
+        """Calls offered in one interval, averaged over recent intervals."""
+        return sum(self._offered.values()) * (1.0 - _HISTOGRAM_MEMORY)
+
+    def adapt(self, capacity: float, queued: int, target: float) -> None:
+        """Moves the level; called once in each adaptation interval.
+
+        The level rises only while the queue is longer than its target, and
+        falls only while it is not. It falls in growing steps, because the
+        calls that it refused before, here or at the entry, return as soon as
+        it falls, and their number is not known.
+
+        Args:
+            capacity: Calls that can start in one interval.
+            queued: Calls that wait now.
+            target: Queue length that keeps the upstream busy.
+        """
+        room = capacity + (target - queued) * _QUEUE_GAIN
+        fitting = self._level_for(max(0.0, room))
+        if queued > target:
+            self._step = 1
+            self.value = max(self.value, fitting)
+        elif fitting < self.value:
+            self.value = max(fitting, self.value - self._step)
+            self._step = min(_MAX_STEP_DOWN, self._step * 2)
+        self._forget()
+
+    def _level_for(self, room: float) -> int:
+        """Lowest level whose calls at or above it fit into the room."""
+        share = 1.0 - _HISTOGRAM_MEMORY
+        used = 0.0
+        for level in sorted(self._offered, reverse=True):
+            used += self._offered[level] * share
+            if used > room:
+                return level + 1
+        return 0
+
+    def _forget(self) -> None:
+        kept = {}
+        for level, count in self._offered.items():
+            count *= _HISTOGRAM_MEMORY
+            if count > 0.01:
+                kept[level] = count
+        self._offered = kept
--- /dev/null
+++ b/medlardoor/admission/queueing.py
@@ -0,0 +1,132 @@
+"""Queue of calls that wait for a slot of the local upstream."""
+
+import bisect
+from collections import abc
+import dataclasses
+
+from medlardoor.node import context
+
+__all__ = ["Entry", "PriorityQueue"]
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """One waiting call.
+
+    Attributes:
+        call: The call.
+        queued_at: When it was queued, in seconds.
+        key: Position in the queue: rank, then deadline, then arrival.
+    """
+
+    call: context.CallContext
+    queued_at: float
+    key: tuple[int, float, int]
+
+    def can_start(self, now: float, service_s: float) -> bool:
+        """Whether the call can still meet its deadline and its wait.
+
+        Args:
+            now: Current time, in seconds.
+            service_s: Time that a run is expected to take, in seconds.
+        """
+        if now + service_s > self.call.deadline:
+            return False
+        return now - self.queued_at <= self.call.max_wait_s
+
+
+class PriorityQueue:
+    """Calls ordered by rank, then by remaining deadline.
+
+    The queue is a sorted list: it holds a few hundred entries, and needs both
+    ends, removal from the middle and a scan for expired entries.
+    """
+
+    def __init__(self):
+        self._entries: list[Entry] = []
+        self._by_id: dict[int, Entry] = {}
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def lowest_rank(self) -> int | None:
+        """Rank of the least important entry; None if the queue is empty."""
+        if not self._entries:
+            return None
+        return self._entries[-1].call.rank
+
+    def oldest_wait(self, now: float) -> float:
+        """Longest time that any entry has waited, in seconds."""
+        if not self._entries:
+            return 0.0
+        return now - min(e.queued_at for e in self._entries)
+
+    def push(self, call: context.CallContext, now: float) -> None:
+        """Adds a call.
+
+        Args:
+            call: The call; its id is not in the queue.
+            now: Current time, in seconds.
+        """
+        self._sequence += 1
+        key = (-call.rank, call.deadline, self._sequence)
+        entry = Entry(call, now, key)
+        bisect.insort(self._entries, entry, key=_key)
+        self._by_id[call.call_id] = entry
+
+    def pop(self) -> Entry | None:
+        """Takes the most important entry; None if the queue is empty."""
+        if not self._entries:
+            return None
+        entry = self._entries.pop(0)
+        del self._by_id[entry.call.call_id]
+        return entry
+
+    def cancel(self, call_id: int) -> Entry | None:
+        """Removes a call; None if it is not in the queue."""
+        entry = self._by_id.pop(call_id, None)
+        if entry is None:
+            return None
+        place = bisect.bisect_left(self._entries, entry.key, key=_key)
+        del self._entries[place]
+        return entry
+
+    def evict(self) -> Entry | None:
+        """Removes the entry of the lowest level, the youngest of equals.
+
+        Levels are the same in all nodes, so nodes that evict keep the same
+        chains.
+        """
+        if not self._entries:
+            return None
+        # The least important entry has the lowest rank, so only the end of
+        # the list that has this rank needs to be searched.
+        lowest = self._entries[-1].call.rank
+        start = bisect.bisect_left(self._entries, (-lowest,), key=_key)
+        tail = self._entries[start:]
+        entry = min(tail, key=lambda e: (e.call.level, -e.key[2]))
+        return self.cancel(entry.call.call_id)
+
+    def expire(
+        self, now: float, service_time: abc.Callable[[str], float]
+    ) -> list[Entry]:
+        """Removes all entries that can no longer meet their limits.
+
+        Args:
+            now: Current time, in seconds.
+            service_time: Expected time of a run by kind, in seconds.
+        """
+        late = [
+            e
+            for e in self._entries
+            if not e.can_start(now, service_time(e.call.kind))
+        ]
+        for entry in late:
+            self.cancel(entry.call.call_id)
+        return late
+
+
+def _key(entry: Entry) -> tuple[int, float, int]:
+    return entry.key
--- /dev/null
+++ b/medlardoor/routing/path.py
@@ -0,0 +1,60 @@
+"""Admission levels of called services, applied where a kind enters."""
+
+from medlardoor.blackboard import board as board_module
+from medlardoor.blackboard import topics
+
+__all__ = ["PathController"]
+
+# A reported level holds for this time (design, section 2.6).
+_HOLD_S = 1.0
+
+# Afterwards it falls by this many levels a second. If all calls of a kind
+# are refused, no answer reports a new level, and admitting all of them at
+# once would overload the called service again.
+_FALL_PER_S = 256.0
+
+
+class PathController:
+    """Writes the topic `paths`.
+
+    Args:
+        board: Blackboard.
+    """
+
+    def __init__(self, board: board_module.Blackboard):
+        self._board = board
+
+    def observe(
+        self, service: str, kind: str, path_level: int, now: float
+    ) -> None:
+        """Notes the path level of an answer.
+
+        Args:
+            service: Service that answered.
+            kind: Kind of the call.
+            path_level: Level in the answer.
+            now: Current time, in seconds.
+        """
+        levels = self._board.paths.levels
+        levels[service, kind] = topics.PathLevel(path_level, now)
+
+    def level_for(self, kind: str, now: float) -> int:
+        """Highest level on the paths of a kind.
+
+        Args:
+            kind: Kind of the call.
+            now: Current time, in seconds.
+        """
+        highest = 0
+        levels = self._board.paths.levels
+        for key in [k for k in levels if k[1] == kind]:
+            level = _aged(levels[key], now)
+            if level <= 0:
+                del levels[key]
+            highest = max(highest, level)
+        return highest
+
+
+def _aged(entry: topics.PathLevel, now: float) -> int:
+    over_s = max(0.0, now - entry.seen_at - _HOLD_S)
+    return entry.level - int(over_s * _FALL_PER_S)
--- /dev/null
+++ b/medlardoor/routing/tests/test_picker.py
@@ -0,0 +1,115 @@
+"""Tests of node selection."""
+
+import collections
+import random
+
+import pytest
+
+from medlardoor import errors
+from medlardoor.blackboard import board as board_module
+from medlardoor.blackboard import topics
+from medlardoor.config import settings as settings_module
+from medlardoor.node import context
+from medlardoor.routing import picker as picker_module
+
+SERVING = topics.MemberState.SERVING
+CALL = context.CallContext(bytes(16), 1, "t", "k", 1, 200, 100.0)
+
+
+def _picker(count=3, **changes):
+    board = board_module.Blackboard("calculator-1", "calculator", "a")
+    fields = {"slots": 40, "state": SERVING} | changes
+    board.membership.services["inventory"] = {
+        f"inventory-{i}": topics.Member(
+            f"inventory-{i}",
+            "inventory",
+            1,
+            failure_domain="abc"[i % 3],
+            **fields,
+        )
+        for i in range(count)
+    }
+    settings = settings_module.GossipSettings()
+    picker = picker_module.PowerOfTwoPicker(settings, board, random.Random(1))
+    return picker, board.membership.services["inventory"]
+
+
+def _pick(picker, now=0.0, exclude=()):
+    return picker.pick("inventory", CALL, exclude, now).ok()
+
+
+@pytest.mark.parametrize("now", [0.0, 2.8])
+def test_load_is_spread(now):
+    """A member that gets all calls because its report is old or equal."""
+    picker, _ = _picker(6)
+    counts = collections.Counter()
+    for _ in range(120):
+        member = _pick(picker, now)
+        picker.started(member, now)
+        counts[member.instance] += 1
+    assert max(counts.values()) - min(counts.values()) <= 6
+
+
+def test_own_domain_on_a_tie():
+    """Calls that cross failure domains although the own one is idle."""
+    picker, _ = _picker()
+    counts = collections.Counter(
+        _pick(picker).failure_domain for _ in range(300)
+    )
+    assert counts["a"] > 180
+
+
+def test_cold_member_is_ramped_up():
+    """A restarted member that gets its full share at once."""
+    picker, members = _picker()
+    members["inventory-1"].warmth_percent = 10
+    counts = collections.Counter()
+    for _ in range(60):
+        member = _pick(picker)
+        picker.started(member, 0.0)
+        counts[member.instance] += 1
+    assert counts["inventory-1"] <= 6
+
+
+def test_refused_connection_takes_a_member_out():
+    """Calls that keep going to a dead member, or never return to it."""
+    picker, members = _picker()
+    dead = members["inventory-1"]
+    now = 0.0
+    rests = []
+    for _ in range(5):
+        picker.started(dead, now)
+        picker.finished(dead, False, now)
+        began = now
+        while dead not in picker.usable("inventory", now):
+            now += 0.05
+            for member in members.values():
+                member.heard_at = now
+        rests.append(now - began)
+    assert 0.8 <= rests[0] <= 1.3
+    assert rests[0] < rests[1] < rests[2] < rests[3]
+    assert 6.4 <= rests[4] <= 8.1
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 7])
+def test_minimum_stays_usable(count):
+    """A network fault that leaves a node without any member."""
+    picker, members = _picker(count)
+    for member in members.values():
+        picker.started(member, 0.0)
+        picker.finished(member, False, 0.0)
+    assert len(picker.usable("inventory", 0.5)) == (count + 1) // 2
+    assert _pick(picker, 0.5) is not None
+    assert len(picker.usable("inventory", 60.0)) == (count + 1) // 2
+
+
+def test_level_and_exclusion():
+    """A call that is sent where it is known to be refused."""
+    picker, members = _picker(level=201)
+    refused = picker.pick("inventory", CALL, (), 0.0).err()
+    assert refused.reason is errors.Reason.OVERLOAD
+    assert refused.outcome is errors.Outcome.NOT_RUN
+    members["inventory-2"].level = 200
+    assert _pick(picker).instance == "inventory-2"
+    refused = picker.pick("inventory", CALL, members, 0.0).err()
+    assert refused.reason is errors.Reason.NO_UPSTREAM
