Add bench fakes, baselines and cases

Cause: the decision classes need measurements under overload. Change: event simulation, callers, baselines and cases of both companies.

--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -307,9 +307,19 @@
         return max(self._rate or 0.0, self._limit.limit(now) / mean_s)
 
     def _refuse(self, call, reason) -> Refused:
-        return Refused(self._refusal(call, reason))
+        return Refused(self.refusal(call, reason))
 
-    def _refusal(self, call, reason) -> errors.Refusal:
+    def refusal(
+        self,
+        call: context.CallContext,
+        reason: errors.Reason = errors.Reason.OVERLOAD,
+    ) -> errors.Refusal:
+        """Refusal of a call that was not run, with a hint when to return.
+
+        Args:
+            call: The call.
+            reason: Why it is refused.
+        """
         return errors.Refusal(
             errors.Outcome.NOT_RUN,
             reason,
@@ -325,7 +335,7 @@
         self._drop(entry.call, reason)
 
     def _drop(self, call, reason) -> None:
-        self._drops.append(Drop(call.call_id, self._refusal(call, reason)))
+        self._drops.append(Drop(call.call_id, self.refusal(call, reason)))
 
     def _publish(self, now: float) -> None:
         topic = self._board.limits
--- /dev/null
+++ b/medlardoor/bench/runner.py
@@ -0,0 +1,70 @@
+"""Runs one case with one kind of instance in front of the upstreams."""
+
+import enum
+
+from medlardoor.bench import (
+    baselines,
+    callers,
+    cases,
+    controlled,
+    fakes,
+    measures,
+)
+
+__all__ = ["Variant", "run_case"]
+
+
+class Variant(enum.Enum):
+    """What stands in front of the upstreams."""
+
+    MEDLARDOOR = "medlardoor"
+    NO_CONTROL = "no control"
+    FIXED_LIMIT = "fixed limit"
+
+
+_INSTANCES = {
+    Variant.MEDLARDOOR: controlled.ControlledInstance,
+    Variant.NO_CONTROL: baselines.OpenInstance,
+    Variant.FIXED_LIMIT: baselines.FixedLimitInstance,
+}
+
+
+def run_case(
+    case: cases.Case, variant: Variant
+) -> tuple[measures.Figures, list[measures.Sample]]:
+    """Runs one case.
+
+    Args:
+        case: The case.
+        variant: What stands in front of the upstreams.
+
+    Returns:
+        The figures and the state over time.
+    """
+    world = fakes.World(case.company, case.seed)
+    world.recorder = measures.Recorder(world, case.begin_s, case.end_s)
+    is_controlled = variant is Variant.MEDLARDOOR
+    # Clients of the baselines close the connection, but nothing tells the
+    # upstream to stop.
+    world.propagates_cancellation = is_controlled
+    world.build(_INSTANCES[variant])
+    if is_controlled:
+        _spoil_reports(world, case.report_fault)
+        controlled.connect(world)
+    world.recorder.start()
+    case.prepare(world)
+    callers.Callers(world, case.rate, is_controlled).start()
+    world.simulator.run(case.end_s + case.after_s)
+    figures = world.recorder.figures(cases.possible_goodput(case))
+    return figures, world.recorder.samples
+
+
+def _spoil_reports(
+    world: fakes.World, fault: controlled.ReportFault | None
+) -> None:
+    if fault is None:
+        return
+    for instance in world.instances[fault.service]:
+        instance.report_slots = fault.slots
+        instance.report_interval_s = fault.interval_s
+        instance.report()
