--- a/medlardoor/store/client.py
+++ b/medlardoor/store/client.py
@@ -7,7 +7,7 @@
 
 from medlardoor import errors
 
-__all__ = ["MAX_VALUE_BYTES", "ObjectStore", "StoredObject"]
+__all__ = ["MAX_VALUE_BYTES", "ObjectStore", "StoredObject", "too_large"]
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -69,3 +69,15 @@
         self, prefix: str
     ) -> result.Result[tuple[StoredObject, ...], errors.StoreUnavailable]:
         """Reads all objects whose key starts with the prefix."""
+
+
+def too_large(key: str, size: int) -> errors.StoreUnavailable:
+    """Failure of an update whose value is above the limit; nothing is sent.
+
+    Args:
+        key: Name of the object.
+        size: Size of the value, in bytes.
+    """
+    return errors.StoreUnavailable(
+        key, f"not sent: {size} bytes are above {MAX_VALUE_BYTES}"
+    )
--- /dev/null
+++ b/medlardoor/store/http.py
@@ -0,0 +1,204 @@
+"""HTTP client of the platform's object API."""
+
+import urllib.parse
+
+import anyio
+import httpcore
+import pydantic
+import result
+
+from medlardoor import errors
+from medlardoor.config import settings as settings_module
+from medlardoor.store import client
+
+__all__ = ["HttpObjectStore"]
+
+_OK = 200
+_NOT_MODIFIED = 304
+_NOT_FOUND = 404
+_PRECONDITION_FAILED = 412
+_MAX_CONNECTIONS = 4
+# A list holds base64 text, so it may be longer than one value.
+_MAX_LIST_BYTES = 8 * client.MAX_VALUE_BYTES
+
+
+class _Listed(pydantic.BaseModel):
+    key: str
+    version: int
+    value: pydantic.Base64Bytes
+
+
+class _Listing(pydantic.BaseModel):
+    objects: tuple[_Listed, ...]
+
+
+class HttpObjectStore(client.ObjectStore):
+    """Client over `httpcore`; every transport error is `StoreUnavailable`.
+
+    Args:
+        settings: URL and timeouts.
+    """
+
+    def __init__(self, settings: settings_module.StoreSettings):
+        self._base = settings.url.rstrip("/")
+        self._timeout_s = settings.timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS, retries=0
+        )
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
+
+    async def read(
+        self, key: str
+    ) -> result.Result[client.StoredObject | None, errors.StoreUnavailable]:
+        """Reads an object; None if there is no object with this key."""
+        answer = await self._call(key, "GET", self._object_url(key))
+        return answer.and_then(lambda a: _stored_object(key, a))
+
+    async def update(
+        self, key: str, value: bytes, expected_version: int
+    ) -> result.Result[int, errors.StoreUnavailable | errors.StoreConflict]:
+        """Writes an object if its version is still the expected one."""
+        if len(value) > client.MAX_VALUE_BYTES:
+            return result.Err(client.too_large(key, len(value)))
+        headers = {"If-None-Match": "*"}
+        if expected_version > 0:
+            headers = {"If-Match": f'"{expected_version}"'}
+        answer = await self._call(
+            key, "PUT", self._object_url(key), headers=headers, body=value
+        )
+        if answer.is_err():
+            return answer
+        response = answer.ok_value
+        if response.status == _PRECONDITION_FAILED:
+            return result.Err(errors.StoreConflict(key, expected_version))
+        if response.status != _OK:
+            return result.Err(_unexpected(key, response))
+        return _version(key, response)
+
+    async def watch(
+        self, key: str, after_version: int, wait_s: float
+    ) -> result.Result[client.StoredObject | None, errors.StoreUnavailable]:
+        """Waits for a version above `after_version`; None after `wait_s`."""
+        query = urllib.parse.urlencode(
+            {"watch": after_version, "wait_s": wait_s}
+        )
+        answer = await self._call(
+            key, "GET", f"{self._object_url(key)}?{query}", wait_s=wait_s
+        )
+        return answer.and_then(lambda a: _stored_object(key, a))
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[
+        tuple[client.StoredObject, ...], errors.StoreUnavailable
+    ]:
+        """Reads all objects whose key starts with the prefix."""
+        query = urllib.parse.urlencode({"prefix": prefix})
+        answer = await self._call(
+            prefix,
+            "GET",
+            f"{self._base}/v1/objects?{query}",
+            max_bytes=_MAX_LIST_BYTES,
+        )
+        return answer.and_then(lambda a: _stored_objects(prefix, a))
+
+    def _object_url(self, key: str) -> str:
+        return f"{self._base}/v1/objects/{urllib.parse.quote(key)}"
+
+    async def _call(
+        self,
+        key: str,
+        method: str,
+        url: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        wait_s: float = 0.0,
+        max_bytes: int = client.MAX_VALUE_BYTES,
+    ) -> result.Result[httpcore.Response, errors.StoreUnavailable]:
+        """Makes one call; the whole answer must arrive within the timeout."""
+        limit_s = self._timeout_s + wait_s
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), limit_s)
+        try:
+            with anyio.fail_after(limit_s):
+                async with self._pool.stream(
+                    method,
+                    url,
+                    headers=headers,
+                    content=body,
+                    extensions={"timeout": timeouts},
+                ) as response:
+                    return await _read_body(key, response, max_bytes)
+        except TimeoutError:
+            return result.Err(errors.StoreUnavailable(key, "timeout"))
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            return result.Err(_failed(key, error))
+        except (httpcore.TimeoutException, OSError) as error:
+            return result.Err(_failed(key, error))
+
+
+async def _read_body(
+    key: str, response: httpcore.Response, max_bytes: int
+) -> result.Result[httpcore.Response, errors.StoreUnavailable]:
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if len(body) > max_bytes:
+            return result.Err(errors.StoreUnavailable(key, "answer too long"))
+    return result.Ok(
+        httpcore.Response(
+            response.status, headers=response.headers, content=bytes(body)
+        )
+    )
+
+
+def _stored_object(
+    key: str, response: httpcore.Response
+) -> result.Result[client.StoredObject | None, errors.StoreUnavailable]:
+    if response.status in (_NOT_FOUND, _NOT_MODIFIED):
+        return result.Ok(None)
+    if response.status != _OK:
+        return result.Err(_unexpected(key, response))
+    version = _version(key, response)
+    return version.map(
+        lambda number: client.StoredObject(key, response.read(), number)
+    )
+
+
+def _stored_objects(
+    prefix: str, response: httpcore.Response
+) -> result.Result[tuple[client.StoredObject, ...], errors.StoreUnavailable]:
+    if response.status != _OK:
+        return result.Err(_unexpected(prefix, response))
+    try:
+        listing = _Listing.model_validate_json(response.read())
+    except pydantic.ValidationError as error:
+        return result.Err(_failed(prefix, error))
+    return result.Ok(
+        tuple(
+            client.StoredObject(entry.key, entry.value, entry.version)
+            for entry in listing.objects
+        )
+    )
+
+
+def _version(
+    key: str, response: httpcore.Response
+) -> result.Result[int, errors.StoreUnavailable]:
+    for name, value in response.headers:
+        if name.lower() == b"etag" and value.strip(b'"').isdigit():
+            return result.Ok(int(value.strip(b'"')))
+    return result.Err(errors.StoreUnavailable(key, "answer without version"))
+
+
+def _unexpected(
+    key: str, response: httpcore.Response
+) -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(key, f"status {response.status}")
+
+
+def _failed(key: str, error: Exception) -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(key, type(error).__name__)
