Add gossip membership and failure detection

Groups of one service exchange digests within one datagram. Full records of all members each second would exceed the 3 KB/s budget and miss members of large groups, so liveness travels as an 8-byte list entry per member (new field Digest.heartbeats).

--- /dev/null
+++ b/medlardoor/membership/gossip.py
@@ -0,0 +1,396 @@
+"""Group membership by gossip: the controller of the membership topic."""
+
+import collections.abc
+import dataclasses
+import random as random_module
+
+from medlardoor.blackboard import board as board_module
+from medlardoor.blackboard import topics
+from medlardoor.config import settings as settings_module
+from medlardoor.membership import detector as detector_module
+from medlardoor.membership import (
+    digests,
+    messages,
+    records,
+    rereads,
+    subscriptions,
+)
+from medlardoor.membership import group as group_module
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+__all__ = ["GossipController"]
+
+_MAX_PUSH_GROUP = 64
+_PUSH_SAMPLE = 16
+_MAX_JOIN = 16
+_CONTACTS_WHEN_ALONE = 4
+_LOST_CONTACT_INTERVAL_S = 5.0
+# Admission levels adapt every 100 ms; pushing each change to 21 peers would
+# take more than the whole network budget of a node.
+_LEVEL_PUSH_INTERVAL_S = 0.5
+_LEVELS_PER_RANK = 128
+
+
+class GossipController:
+    """Writes the `membership` topic; sends nothing by itself.
+
+    All methods that return `Send` objects leave the sending to the caller.
+
+    Args:
+        settings: Times and limits.
+        board: Blackboard of the node.
+        random: Source of randomness, seeded from the settings.
+        own: This node's instance, service, incarnation, process id, host,
+            ports and failure domain.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.GossipSettings,
+        board: board_module.Blackboard,
+        random: random_module.Random,
+        own: topics.Member,
+    ):
+        self._settings = settings
+        self._topic = board.membership
+        self._random = random
+        self._own = own
+        self._detector = detector_module.FailureDetector(settings)
+        self._builder = digests.DigestBuilder(own, settings)
+        self._group = self._new_group(own.service, self._topic.members)
+        self._called: dict[str, group_module.MemberGroup] = {}
+        self._seeds: dict[str, tuple[group_module.Address, ...]] = {}
+        self._rereads = rereads.RereadSchedule(settings.fail_after_s, random)
+        self._subscribers = subscriptions.Subscribers()
+        self._filter = subscriptions.SequenceFilter()
+        self._counters = messages.GossipCounters()
+        self._level_push_at = float("-inf")
+        self._level_push_due = False
+        self._lost_contact_at = float("-inf")
+
+    @property
+    def own(self) -> topics.Member:
+        """What this node says of itself."""
+        return self._own
+
+    @property
+    def counters(self) -> messages.GossipCounters:
+        """Counts of received and dropped messages."""
+        return self._counters
+
+    def join(
+        self,
+        seeds: collections.abc.Iterable[group_module.Address],
+        now: float,
+    ) -> list[messages.Send]:
+        """Introduces this node to members of its own service.
+
+        Args:
+            seeds: Gossip addresses from the directory or the settings.
+            now: Current time, in seconds.
+        """
+        service = self._own.service
+        self._note_seeds(service, seeds, now)
+        digest = self._builder.full(self._group, now, reply=True)
+        return self._send(self._sample(self._seeds[service], _MAX_JOIN), digest)
+
+    def subscribe(
+        self,
+        service: str,
+        seeds: collections.abc.Iterable[group_module.Address],
+        now: float,
+    ) -> list[messages.Send]:
+        """Starts to follow the members of another service.
+
+        Args:
+            service: Name of the called service.
+            seeds: Gossip addresses from its directory.
+            now: Current time, in seconds.
+        """
+        if service == self._own.service:
+            return self.join(seeds, now)
+        self._note_seeds(service, seeds, now)
+        if service not in self._called:
+            members = self._topic.services.setdefault(service, {})
+            self._called[service] = self._new_group(service, members)
+        return self._ask(service, now)
+
+    def unsubscribe(self, service: str) -> None:
+        """Stops to follow a service."""
+        self._called.pop(service, None)
+        self._topic.services.pop(service, None)
+        self._seeds.pop(service, None)
+        self._rereads.stop(service)
+
+    def publish(
+        self, state: topics.MemberState, load: messages.LoadReport, now: float
+    ) -> list[messages.Send]:
+        """Takes over what this node says of itself from now on.
+
+        A new state, a level change by a full rank, a newly refused rank and a
+        document version that no peer has yet are pushed at once.
+
+        Args:
+            state: New state; leaving and left are final.
+            load: Current load.
+            now: Current time, in seconds.
+        """
+        own = self._own
+        if own.state >= topics.MemberState.LEAVING:
+            state = max(own.state, state)
+        urgent = state is not own.state
+        urgent = urgent or self._is_first_to_have(load.document_version)
+        if self._is_level_change(load):
+            self._level_push_due = True
+        own.state = state
+        self._topic.state = state
+        for field in dataclasses.fields(load):
+            setattr(own, field.name, getattr(load, field.name))
+        # Receivers drop data that is not newer by its heartbeat.
+        own.heartbeat += 1
+        waited_s = now - self._level_push_at
+        if self._level_push_due and waited_s >= _LEVEL_PUSH_INTERVAL_S:
+            urgent = True
+        return self._push(now) if urgent else []
+
+    def tick(self, now: float) -> list[messages.Send]:
+        """Regular exchange; called once per `interval_s`.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        groups = [self._group, *self._called.values()]
+        members = [m for group in groups for m in group.members.values()]
+        if self._detector.tick(members, now):
+            self._counters.pauses += 1
+        self._own.heartbeat += 1
+        for group in groups:
+            group.forget(now)
+        self._subscribers.expire(now)
+        self._filter.expire(now)
+        sends = self._exchange(now)
+        for service in self._called:
+            sends += self._ask(service, now)
+        if self._level_push_due:
+            sends += self._push(now)
+        return sends
+
+    def receive(self, digest: ttypes.Digest, now: float) -> list[messages.Send]:
+        """Merges a digest and answers it if it asks for that.
+
+        Stale, replayed, doubled and reordered digests change nothing that is
+        known to be newer.
+
+        Args:
+            digest: Authenticated digest of another node.
+            now: Current time, in seconds.
+        """
+        rows = digest.records or []
+        if not rows or not digest.sender or not digest.service_name:
+            self._counters.invalid_records += 1
+            return []
+        self._counters.received += 1
+        is_new = self._is_new(digest, now)
+        if is_new:
+            self._topic.last_contact_at = now
+        sends = []
+        group = self._group_of(digest.service_name)
+        if group is not None:
+            for record in rows[: self._settings.max_records]:
+                sends += self._merge(group, record, digest, is_new, now)
+            group.merge_heartbeats(digest.heartbeats or b"", now)
+        if is_new and digest.reply:
+            sends += self._answer(digest, now)
+        return sends
+
+    def usable_members(self, service: str, now: float) -> list[topics.Member]:
+        """Members of a service that may get new work, without this node.
+
+        Args:
+            service: Own or called service.
+            now: Current time, in seconds.
+        """
+        group = self._group_of(service)
+        return group.usable(now) if group is not None else []
+
+    def live_members(self, now: float) -> list[topics.Member]:
+        """Other members of the own service that are not failed or left."""
+        return self._group.live(now)
+
+    def wants_directory(self, service: str, now: float) -> bool:
+        """Whether the directory has to be reread since no member answers.
+
+        Args:
+            service: Own or called service.
+            now: Current time, in seconds.
+        """
+        group = self._group_of(service)
+        if group is None:
+            return False
+        if group.live(now):
+            self._rereads.note_contact(service, now)
+            return False
+        return self._rereads.is_due(service, now)
+
+    def _new_group(
+        self, service: str, members: dict[str, topics.Member]
+    ) -> group_module.MemberGroup:
+        return group_module.MemberGroup(
+            service, members, self._settings, self._detector
+        )
+
+    def _group_of(self, service: str) -> group_module.MemberGroup | None:
+        if service == self._own.service:
+            return self._group
+        return self._called.get(service)
+
+    def _note_seeds(
+        self,
+        service: str,
+        seeds: collections.abc.Iterable[group_module.Address],
+        now: float,
+    ) -> None:
+        own = group_module.Address(self._own.host, self._own.gossip_port)
+        self._seeds[service] = tuple(seed for seed in seeds if seed != own)
+        self._rereads.start(service, now)
+
+    def _exchange(self, now: float) -> list[messages.Send]:
+        """Digests to random members of the own group."""
+        live = self._group.live_addresses(now)
+        targets = self._sample(live, self._settings.fanout)
+        silent = [
+            *self._group.lost_addresses(now),
+            *self._seeds.get(self._own.service, ()),
+        ]
+        if not live:
+            targets = self._sample(silent, _CONTACTS_WHEN_ALONE)
+        elif now - self._lost_contact_at >= _LOST_CONTACT_INTERVAL_S:
+            self._lost_contact_at = now
+            lost = [address for address in silent if address not in live]
+            targets += self._sample(lost, 1)
+        return [
+            messages.Send(
+                target.host,
+                target.port,
+                self._builder.full(self._group, now, reply=not live),
+            )
+            for target in targets
+        ]
+
+    def _ask(self, service: str, now: float) -> list[messages.Send]:
+        """Asks two members of a called service for their digests."""
+        group = self._called[service]
+        known = group.live_addresses(now)
+        if not known:
+            known = [*group.lost_addresses(now), *self._seeds[service]]
+        targets = self._sample(known, self._settings.fanout)
+        return self._send(targets, self._builder.announcement(reply=True))
+
+    def _merge(
+        self,
+        group: group_module.MemberGroup,
+        record: ttypes.MemberRecord,
+        digest: ttypes.Digest,
+        is_new: bool,
+        now: float,
+    ) -> list[messages.Send]:
+        if group is self._group and record.instance == self._own.instance:
+            return self._defend_incarnation(record, now)
+        merged = group.merge(record, now)
+        if merged is group_module.Merge.INVALID:
+            self._counters.invalid_records += 1
+        elif merged is group_module.Merge.STALE:
+            self._counters.stale_records += 1
+        elif merged is group_module.Merge.OUTDATED_INCARNATION:
+            self._counters.stale_records += 1
+            if is_new and record.instance == digest.sender:
+                return self._correct(group, record)
+        return []
+
+    def _defend_incarnation(
+        self, record: ttypes.MemberRecord, now: float
+    ) -> list[messages.Send]:
+        """Rises above an incarnation that another process has used."""
+        own = self._own
+        if records.from_record(record, own.service, now) is None:
+            return []
+        if record.process_id == own.process_id:
+            return []
+        if record.incarnation < own.incarnation:
+            return []
+        self._counters.incarnation_conflicts += 1
+        own.incarnation = record.incarnation + 1
+        own.heartbeat += 1
+        return self._push(now)
+
+    def _correct(
+        self, group: group_module.MemberGroup, record: ttypes.MemberRecord
+    ) -> list[messages.Send]:
+        """Tells a restarted node that its incarnation is too low."""
+        known = group.record_of(record.instance)
+        if group is not self._group or known is None:
+            return []
+        digest = self._builder.correction(known)
+        return [messages.Send(record.host, record.gossip_port, digest)]
+
+    def _answer(self, digest: ttypes.Digest, now: float) -> list[messages.Send]:
+        record = digest.records[0]
+        member = records.from_record(record, digest.service_name, now)
+        if member is None or member.instance != digest.sender:
+            return []
+        address = group_module.Address(member.host, member.gossip_port)
+        if digest.service_name != self._own.service:
+            self._subscribers.add(address, now)
+        return self._send([address], self._builder.full(self._group, now))
+
+    def _is_new(self, digest: ttypes.Digest, now: float) -> bool:
+        if digest.sender == self._own.instance:
+            return False
+        is_new = self._filter.is_new(
+            digest.sender, digest.incarnation or 0, digest.sequence or 0, now
+        )
+        if not is_new:
+            self._counters.replayed += 1
+        return is_new
+
+    def _is_first_to_have(self, version: int) -> bool:
+        if version <= self._own.document_version:
+            return False
+        return all(
+            member.document_version < version
+            for member in self._topic.members.values()
+        )
+
+    def _is_level_change(self, load: messages.LoadReport) -> bool:
+        if load.refused_rank > self._own.refused_rank:
+            return True
+        return abs(load.level - self._own.level) >= _LEVELS_PER_RANK
+
+    def _push(self, now: float) -> list[messages.Send]:
+        """Sends the own record to all peers and subscribers."""
+        self._level_push_due = False
+        self._level_push_at = now
+        peers = self._group.live_addresses(now)
+        sends = []
+        for addresses in (peers, list(self._subscribers.addresses())):
+            limit = len(addresses)
+            if limit > _MAX_PUSH_GROUP:
+                limit = _PUSH_SAMPLE
+            targets = self._sample(addresses, limit)
+            sends += self._send(targets, self._builder.announcement())
+        return sends
+
+    def _sample(
+        self,
+        addresses: collections.abc.Sequence[group_module.Address],
+        count: int,
+    ) -> list[group_module.Address]:
+        distinct = list(dict.fromkeys(addresses))
+        return self._random.sample(distinct, min(count, len(distinct)))
+
+    def _send(
+        self,
+        targets: collections.abc.Iterable[group_module.Address],
+        digest: ttypes.Digest,
+    ) -> list[messages.Send]:
+        return [messages.Send(t.host, t.port, digest) for t in targets]
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -29,6 +29,8 @@
   4: i64 sequence,             // Grows by one with each datagram of a sender.
   5: list<MemberRecord> records,
   6: bool reply,               // True if the sender wants a digest back.
+  7: binary heartbeats,        // Heartbeats of other members, 8 bytes each:
+                               // CRC-32 of their identity, then the counter.
 }
 
 struct CrashReport {
