--- /dev/null
+++ b/medlardoor/config/document.py
@@ -0,0 +1,308 @@
+"""Checks of the operator's document and of the object that holds it."""
+
+import dataclasses
+import json
+
+import pydantic
+import result
+
+from medlardoor import errors
+from medlardoor.config import jsonc, models, policy, validation
+from medlardoor.store import client
+
+__all__ = [
+    "document_key",
+    "encode_object",
+    "history_key",
+    "parse_document",
+    "parse_object",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Parts:
+    """Values that the cross-checks compare; None where one is not valid.
+
+    Attributes:
+        classes: Importance classes.
+        services: Names of services.
+        names: Team name and kind name of every kind.
+        kinds: Team name, kind name and model of every valid kind.
+    """
+
+    classes: list[str] | None
+    services: set[str] | None
+    names: list[tuple[str, str]]
+    kinds: list[tuple[str, str, models.KindModel]]
+
+
+def _parts_of_model(model: models.DocumentModel) -> _Parts:
+    kinds = [
+        (team_name, name, kind)
+        for team_name, team in model.teams.items()
+        for name, kind in team.kinds.items()
+    ]
+    names = [(team_name, name) for team_name, name, _ in kinds]
+    return _Parts(model.importance_classes, set(model.services), names, kinds)
+
+
+def _entries(value: object, key: str) -> dict[str, object]:
+    """Object below a key of a value that no model has accepted."""
+    found = value.get(key) if isinstance(value, dict) else None
+    return found if isinstance(found, dict) else {}
+
+
+def _parts_of_value(value: object) -> _Parts:
+    """What can be compared in a document with faults.
+
+    The cross-checks run on it too, so that an operator sees the faults of a
+    document at once. Only the contents of a kind that is not valid by itself
+    are left out.
+    """
+    names = []
+    kinds = []
+    for team_name, team in _entries(value, "teams").items():
+        for name, kind in _entries(team, "kinds").items():
+            names.append((team_name, name))
+            try:
+                model = models.KindModel.model_validate_json(
+                    json.dumps(kind), strict=True
+                )
+            except pydantic.ValidationError:
+                continue
+            kinds.append((team_name, name, model))
+    classes = None
+    if isinstance(value, dict):
+        found = value.get("importance_classes")
+        if isinstance(found, list):
+            classes = [name for name in found if isinstance(name, str)]
+    services = set(_entries(value, "services")) or None
+    return _Parts(classes, services, names, kinds)
+
+
+class _CrossCheck:
+    """Checks between values that no single model sees."""
+
+    def __init__(self, parts: _Parts, faults: validation.FaultList):
+        self._parts = parts
+        self._faults = faults
+        self._matches: dict[tuple[str, str, str], str] = {}
+
+    def run(self):
+        """Runs all checks and records the faults."""
+        self._check_classes()
+        self._check_names()
+        for team_name, name, kind in self._parts.kinds:
+            parts = ("teams", team_name, "kinds", name)
+            self._check_references(kind, parts)
+            self._check_match(name, kind, parts)
+            self._check_times(kind, parts)
+
+    def check_count(self):
+        """Checks the number of kinds of a document that is valid so far."""
+        if not 1 <= len(self._parts.names) <= models.MAX_KINDS:
+            self._faults.add(
+                ("teams",), f"1 to {models.MAX_KINDS} kinds in all"
+            )
+
+    def _check_classes(self):
+        seen = set()
+        for position, name in enumerate(self._parts.classes or ()):
+            if name in seen:
+                self._faults.add(
+                    ("importance_classes", position),
+                    f"each class once ({name} is repeated)",
+                )
+            seen.add(name)
+
+    def _check_names(self):
+        owners: dict[str, str] = {}
+        for team_name, name in self._parts.names:
+            other = owners.setdefault(name, team_name)
+            if other != team_name:
+                self._faults.add(
+                    ("teams", team_name, "kinds", name),
+                    f"a name that team {other} does not use for a kind",
+                )
+
+    def _check_references(self, kind, parts):
+        classes = self._parts.classes
+        services = self._parts.services
+        if classes is not None and kind.class_ not in classes:
+            self._faults.add(
+                (*parts, "class"),
+                f"a class of importance_classes, not {kind.class_}",
+            )
+        if services is not None and kind.service not in services:
+            self._faults.add(
+                (*parts, "service"), f"a name in services, not {kind.service}"
+            )
+
+    def _check_match(self, name, kind, parts):
+        key = (kind.service, kind.match.method, kind.match.path_prefix)
+        other = self._matches.setdefault(key, name)
+        if other != name:
+            self._faults.add(
+                (*parts, "match"), f"a match that {other} does not have already"
+            )
+
+    def _check_times(self, kind, parts):
+        if kind.max_wait_ms > kind.timeout_ms:
+            self._faults.add(
+                (*parts, "max_wait_ms"),
+                f"at most timeout_ms ({kind.timeout_ms})",
+            )
+        objective = kind.objective
+        parts = (*parts, "objective")
+        if (objective.latency_ms or 0) > kind.timeout_ms:
+            self._faults.add(
+                (*parts, "latency_ms"),
+                f"at most timeout_ms ({kind.timeout_ms})",
+            )
+        if objective.window_short_s >= objective.window_long_s:
+            self._faults.add(
+                (*parts, "window_short_s"),
+                f"less than window_long_s ({objective.window_long_s})",
+            )
+
+
+def _to_kind(
+    name: str, team: str, model: models.KindModel, classes: list[str]
+) -> policy.Kind:
+    objective = policy.Objective(
+        availability=model.objective.availability,
+        latency_ms=model.objective.latency_ms or model.timeout_ms,
+        window_short_s=model.objective.window_short_s,
+        window_long_s=model.objective.window_long_s,
+    )
+    return policy.Kind(
+        name=name,
+        team=team,
+        service=model.service,
+        method=model.match.method,
+        path_prefix=model.match.path_prefix,
+        importance_class=model.class_,
+        rank=len(classes) - 1 - classes.index(model.class_),
+        idempotent=model.idempotent,
+        weight=model.weight,
+        retry_budget=model.retry_budget,
+        max_wait_ms=model.max_wait_ms,
+        timeout_ms=model.timeout_ms,
+        objective=objective,
+    )
+
+
+def _to_policy(model: models.DocumentModel) -> policy.Policy:
+    kinds = {
+        name: _to_kind(name, team_name, kind, model.importance_classes)
+        for team_name, team in model.teams.items()
+        for name, kind in team.kinds.items()
+    }
+    services = {
+        name: policy.ServicePolicy(
+            max_queue=service.max_queue,
+            slots=service.slots,
+            ramp_s=service.ramp_s,
+        )
+        for name, service in model.services.items()
+    }
+    return policy.Policy(
+        environment=model.environment,
+        importance_classes=tuple(model.importance_classes),
+        kinds=kinds,
+        services=services,
+    )
+
+
+def parse_document(
+    source_name: str, text: str
+) -> result.Result[policy.Policy, errors.InvalidInput]:
+    """Parses and checks an operator's document.
+
+    Args:
+        source_name: Name of the file or endpoint, for messages.
+        text: The document, JSON with comments, at most 512,000 bytes.
+
+    Returns:
+        The policy, or every fault with its JSON path and line.
+    """
+    parsed = jsonc.parse(source_name, text)
+    if parsed.is_err():
+        return parsed
+    faults = validation.FaultList(parsed.ok_value)
+    model = validation.validate_into(
+        parsed.ok_value, models.DocumentModel, faults
+    )
+    if model is None:
+        _CrossCheck(_parts_of_value(parsed.ok_value.value), faults).run()
+        return result.Err(faults.failure())
+    check = _CrossCheck(_parts_of_model(model), faults)
+    check.run()
+    check.check_count()
+    if faults.has_any():
+        return result.Err(faults.failure())
+    return result.Ok(_to_policy(model))
+
+
+def document_key(environment: str) -> str:
+    """Object key of the documents of an environment."""
+    return f"documents/{environment}"
+
+
+def history_key(environment: str) -> str:
+    """Object key of the history of an environment."""
+    return f"history/{environment}"
+
+
+def parse_object(
+    source_name: str, value: bytes
+) -> result.Result[models.StoredDocument, errors.InvalidInput]:
+    """Checks the content of ``documents/<environment>``.
+
+    The texts in it are not parsed here; see `parse_document`.
+
+    Args:
+        source_name: Object key, for messages.
+        value: Content as read from the platform.
+    """
+    if len(value) > client.MAX_VALUE_BYTES:
+        expected = f"at most {client.MAX_VALUE_BYTES} bytes"
+        return _fault(source_name, "$", expected)
+    try:
+        return result.Ok(
+            models.StoredDocument.model_validate_json(value, strict=True)
+        )
+    except pydantic.ValidationError as error:
+        faults = tuple(
+            errors.Fault(
+                jsonc.format_path(entry["loc"]),
+                0,
+                validation.describe_error(entry),
+            )
+            for entry in error.errors(include_url=False, include_context=False)
+        )
+        return result.Err(errors.InvalidInput(source_name, faults))
+
+
+def encode_object(
+    source_name: str, stored: models.StoredDocument
+) -> result.Result[bytes, errors.InvalidInput]:
+    """Content for the platform, checked against its size limit.
+
+    An enforced and a trial text of 512,000 bytes each do not fit together.
+    """
+    value = stored.model_dump_json().encode()
+    if len(value) > client.MAX_VALUE_BYTES:
+        expected = (
+            f"documents of at most {client.MAX_VALUE_BYTES} bytes together,"
+            f" not {len(value)}"
+        )
+        return _fault(source_name, "$", expected)
+    return result.Ok(value)
+
+
+def _fault(
+    source_name: str, path: str, expected: str
+) -> result.Err[errors.InvalidInput]:
+    fault = errors.Fault(path, 0, expected)
+    return result.Err(errors.InvalidInput(source_name, (fault,)))
--- /dev/null
+++ b/medlardoor/config/jsonc.py
@@ -0,0 +1,300 @@
+"""JSON with comments: values and the line of every value.
+
+Accepts JSON (RFC 8259) with ``//`` and ``/* */`` comments and trailing
+commas. Paths are written as in RFC 9535, for example
+``$.teams.derwent.kinds`` or ``$.services["a b"][0]``.
+"""
+
+import dataclasses
+import functools
+import json
+import math
+import re
+
+import lark
+import result
+
+from medlardoor import errors
+
+__all__ = [
+    "MAX_DEPTH",
+    "MAX_TEXT_BYTES",
+    "ParsedText",
+    "PathPart",
+    "format_path",
+    "parse",
+]
+
+MAX_TEXT_BYTES = 512_000
+MAX_DEPTH = 32
+# Longer integers have no use in settings and are slow to convert.
+MAX_INTEGER = 2**63 - 1
+MAX_NUMBER_CHARACTERS = 40
+MAX_SHOWN_CHARACTERS = 20
+
+PathPart = str | int
+
+_PLAIN_KEY = re.compile(r"[A-Za-z_][A-Za-z0-9_-]*")
+_LITERALS = {"true": True, "false": False, "null": None}
+_TERMINAL_TEXTS = {
+    "LBRACE": "'{'",
+    "_RBRACE": "'}'",
+    "LBRACKET": "'['",
+    "_RBRACKET": "']'",
+    "_COMMA": "','",
+    "KEY": "a key with ':'",
+    "SCALAR": "a plain value",
+    "$END": "the end of the text",
+}
+_VALUE_TERMINALS = frozenset({"LBRACE", "LBRACKET", "SCALAR"})
+
+
+def format_path(parts: tuple[PathPart, ...]) -> str:
+    """Writes keys and list positions as a JSON path."""
+    text = "$"
+    for part in parts:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        elif _PLAIN_KEY.fullmatch(part):
+            text += f".{part}"
+        else:
+            text += f"[{json.dumps(part)}]"
+    return text
+
+
+@dataclasses.dataclass(slots=True)
+class _Node:
+    """One value of the text.
+
+    Attributes:
+        line: Line that the value starts on.
+        value: Plain value, list of nodes, or tuple of members.
+        expected: What is wrong with the value, or the empty string.
+    """
+
+    line: int
+    value: object
+    expected: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class _Member:
+    """One key and value of an object."""
+
+    key: _Node
+    node: _Node
+
+
+@dataclasses.dataclass(frozen=True)
+class ParsedText:
+    """Values of one text and where they stand in it.
+
+    Attributes:
+        source: Name of the file or endpoint that the text came from.
+        value: Plain value: dict, list, str, int, float, bool or None.
+        root: Syntax tree that the lines are read from.
+    """
+
+    source: str
+    value: object
+    root: _Node = dataclasses.field(repr=False)
+
+    @functools.cached_property
+    def lines(self) -> dict[str, int]:
+        """Line of every value by JSON path, counted from 1.
+
+        Built at the first use, because only texts with faults need it.
+        """
+        lines: dict[str, int] = {}
+        _collect_lines(self.root, (), lines)
+        return lines
+
+    def line_of(self, parts: tuple[PathPart, ...]) -> int:
+        """Line of a value, or of its closest parent if it is missing."""
+        for end in range(len(parts), 0, -1):
+            line = self.lines.get(format_path(parts[:end]))
+            if line is not None:
+                return line
+        return self.root.line
+
+
+def _collect_lines(
+    node: _Node, parts: tuple[PathPart, ...], lines: dict[str, int]
+):
+    lines[format_path(parts)] = node.line
+    if isinstance(node.value, tuple):
+        for member in node.value:
+            _collect_lines(member.node, (*parts, member.key.value), lines)
+    elif isinstance(node.value, list):
+        for position, item in enumerate(node.value):
+            _collect_lines(item, (*parts, position), lines)
+
+
+class _Builder(lark.Transformer):
+    """Builds nodes while the parser reduces, so no tree is kept."""
+
+    def start(self, children):
+        return _to_node(children[0])
+
+    def object(self, children):
+        return _Node(children[0].line, tuple(children[1:]))
+
+    def pair(self, children):
+        token = children[0]
+        key = _read_string(token[: token.rindex('"') + 1], token.line)
+        return _Member(key, _to_node(children[1]))
+
+    def array(self, children):
+        items = [_to_node(child) for child in children[1:]]
+        return _Node(children[0].line, items)
+
+
+def _to_node(child: _Node | lark.Token) -> _Node:
+    """Node of a container as it is, or of the token of a plain value."""
+    if isinstance(child, _Node):
+        return child
+    if child[0] == '"':
+        return _read_string(str(child), child.line)
+    if child in _LITERALS:
+        return _Node(child.line, _LITERALS[child])
+    return _read_number(str(child), child.line)
+
+
+def _read_string(text: str, line: int) -> _Node:
+    if "\\" not in text:
+        return _Node(line, text[1:-1])
+    value = json.loads(text)
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return _Node(line, "", "a string without lone surrogates")
+    return _Node(line, value)
+
+
+def _read_number(text: str, line: int) -> _Node:
+    if len(text) > MAX_NUMBER_CHARACTERS:
+        return _Node(
+            line, 0, f"a number of at most {MAX_NUMBER_CHARACTERS} digits"
+        )
+    if text.lstrip("-").isdigit():
+        value = int(text)
+        if abs(value) > MAX_INTEGER:
+            return _Node(line, 0, "an integer of at most 64 bits")
+        return _Node(line, value)
+    value = float(text)
+    if not math.isfinite(value):
+        return _Node(line, 0.0, "a number in the range of a double")
+    return _Node(line, value)
+
+
+_PARSER = lark.Lark.open(
+    "jsonc.lark", rel_to=__file__, parser="lalr", transformer=_Builder()
+)
+
+
+class _Walk:
+    """Turns nodes into plain values and collects faults of values."""
+
+    def __init__(self):
+        self.faults: list[errors.Fault] = []
+
+    def read(self, node: _Node, parts: tuple[PathPart, ...]) -> object:
+        """Value of a node; None in the place of a faulty value."""
+        if node.expected:
+            self._add(parts, node.line, node.expected)
+            return None
+        is_container = isinstance(node.value, tuple | list)
+        if is_container and len(parts) >= MAX_DEPTH:
+            self._add(parts, node.line, f"at most {MAX_DEPTH} nested levels")
+            return None
+        if isinstance(node.value, tuple):
+            return self._read_members(node.value, parts)
+        if isinstance(node.value, list):
+            return [
+                self.read(item, (*parts, position))
+                for position, item in enumerate(node.value)
+            ]
+        return node.value
+
+    def _read_members(
+        self, members: tuple[_Member, ...], parts: tuple[PathPart, ...]
+    ) -> dict[str, object]:
+        values = {}
+        for member in members:
+            key = member.key.value
+            if member.key.expected:
+                self._add(parts, member.key.line, member.key.expected)
+            elif key in values:
+                self._add((*parts, key), member.key.line, "a unique key")
+            else:
+                values[key] = self.read(member.node, (*parts, key))
+        return values
+
+    def _add(self, parts: tuple[PathPart, ...], line: int, expected: str):
+        self.faults.append(errors.Fault(format_path(parts), line, expected))
+
+
+def _describe(expected: set[str], found: str) -> str:
+    """Says what the grammar allows at the position of a syntax error."""
+    names = set(expected) & _TERMINAL_TEXTS.keys()
+    texts = []
+    if names >= _VALUE_TERMINALS:
+        names -= _VALUE_TERMINALS
+        texts.append("a value")
+    texts += sorted(_TERMINAL_TEXTS[name] for name in names)
+    return f"{' or '.join(texts)}, not {found}"
+
+
+def _syntax_fault(
+    error: lark.exceptions.UnexpectedInput, text: str
+) -> errors.Fault:
+    """Line of a syntax error and what the grammar allows there."""
+    if isinstance(error, lark.exceptions.UnexpectedCharacters):
+        rest = text[error.pos_in_stream :].split("\n", 1)[0]
+        if rest.startswith("/*"):
+            expected = "a comment that ends with */"
+        else:
+            shown = repr(rest[:MAX_SHOWN_CHARACTERS])
+            expected = _describe(error.allowed or set(), shown)
+        return errors.Fault("$", error.line, expected)
+    if error.token.type == "$END":
+        line = text.count("\n") + 1
+        shown = "the end of the text"
+    else:
+        line = error.token.line
+        shown = repr(str(error.token).strip()[:MAX_SHOWN_CHARACTERS])
+    return errors.Fault("$", line, _describe(error.expected, shown))
+
+
+def parse(
+    source: str, text: str, max_bytes: int = MAX_TEXT_BYTES
+) -> result.Result[ParsedText, errors.InvalidInput]:
+    """Parses JSON with comments.
+
+    Args:
+        source: Name of the file or endpoint, for messages.
+        text: The text; a byte order mark at the start is skipped.
+        max_bytes: Size limit of the text in UTF-8, in bytes.
+
+    Returns:
+        Values and lines, or the first syntax error, or all faults of the
+        values (duplicate keys, nesting, numbers out of range).
+    """
+    size = len(text.encode(errors="surrogatepass"))
+    if size > max_bytes:
+        fault = errors.Fault(
+            "$", 0, f"at most {max_bytes} bytes, not {size} bytes"
+        )
+        return result.Err(errors.InvalidInput(source, (fault,)))
+    body = text.removeprefix("\ufeff")
+    try:
+        root = _PARSER.parse(body)
+    except lark.exceptions.UnexpectedInput as error:
+        fault = _syntax_fault(error, body)
+        return result.Err(errors.InvalidInput(source, (fault,)))
+    walk = _Walk()
+    value = walk.read(root, ())
+    if walk.faults:
+        faults = tuple(sorted(walk.faults, key=lambda fault: fault.line))
+        return result.Err(errors.InvalidInput(source, faults))
+    return result.Ok(ParsedText(source, value, root))
