List differences between two policies

Cause: an operator reviews a change on a phone before promoting it, and a conflict has to say what the other operator changed.

--- /dev/null
+++ b/medlardoor/config/tests/test_diff.py
@@ -0,0 +1,93 @@
+"""Tests of differences between policies."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+
+from medlardoor.config import diff, policy
+
+KIND = policy.Kind(
+    name="order",
+    team="shop",
+    service="order",
+    method="POST",
+    path_prefix="/orders",
+    importance_class="orders",
+    rank=1,
+    idempotent=False,
+    weight=5.0,
+    retry_budget=3,
+    max_wait_ms=500,
+    timeout_ms=5_000,
+    objective=policy.Objective(0.995, 1_000, 300, 3_600),
+)
+POLICY = policy.Policy(
+    "test",
+    ("orders", "stock"),
+    {"order": KIND},
+    {"order": policy.ServicePolicy()},
+)
+
+
+def _with_kind(**changes):
+    kind = dataclasses.replace(KIND, **changes)
+    return dataclasses.replace(POLICY, kinds={"order": kind})
+
+
+def test_changes_are_listed_by_path():
+    """A changed value is not shown before a promotion."""
+    new = _with_kind(
+        retry_budget=5,
+        idempotent=True,
+        objective=policy.Objective(0.9, 1_000, 300, 3_600),
+    )
+    assert diff.compare(POLICY, new) == (
+        diff.Difference("kinds.order.idempotent", "false", "true"),
+        diff.Difference("kinds.order.retry_budget", "3", "5"),
+        diff.Difference("kinds.order.objective.availability", "0.995", "0.9"),
+    )
+
+
+def test_every_field_is_compared():
+    """A field added to the policy is missing from the differences."""
+    shown = {"name", "rank", "objective", *diff._KIND_FIELDS}
+    assert shown == {field.name for field in dataclasses.fields(policy.Kind)}
+    assert set(diff._OBJECTIVE_FIELDS) == {
+        field.name for field in dataclasses.fields(policy.Objective)
+    }
+    assert set(diff._SERVICE_FIELDS) == {
+        field.name for field in dataclasses.fields(policy.ServicePolicy)
+    }
+
+
+def test_new_class_is_one_change():
+    """A new least important class is shown as a change of every kind."""
+    new = dataclasses.replace(
+        _with_kind(rank=2), importance_classes=("orders", "stock", "batch")
+    )
+    (difference,) = diff.compare(POLICY, new)
+    assert difference.new == "orders > stock > batch"
+
+
+def test_added_and_removed_entries():
+    """A removed kind or a first document is not recognisable as such."""
+    empty = dataclasses.replace(POLICY, kinds={}, services={})
+    removed = diff.compare(POLICY, empty)
+    assert [item.path for item in removed] == ["services.order", "kinds.order"]
+    assert all(item.new is None for item in removed)
+    assert all(item.old is None for item in diff.compare(None, POLICY))
+    assert diff.compare(POLICY, POLICY) == ()
+
+
+@hypothesis.settings(derandomize=True)
+@hypothesis.given(
+    strategies.text(max_size=90),
+    strategies.none() | strategies.text(max_size=90),
+    strategies.sampled_from([40, 60]),
+)
+def test_lines_fit_a_phone(path, old, width):
+    """A long path or value runs out of the screen."""
+    difference = diff.Difference(path, old, "x" * 90)
+    lines = diff.format_lines((difference,), width)
+    assert all(len(line) <= width for line in lines)
