--- a/medlardoor/standins/answers.py
+++ b/medlardoor/standins/answers.py
@@ -10,6 +10,7 @@
     "Disconnected",
     "decode_headers",
     "read_body",
+    "read_whole_body",
     "send_child_failure",
     "send_json",
     "send_padded",
@@ -60,6 +61,15 @@
         more = message.get("more_body", False)
 
 
+async def read_whole_body(receive: Receive) -> bytes:
+    """Reads a small body.
+
+    Raises:
+        Disconnected: The connection was closed before the end.
+    """
+    return b"".join([chunk async for chunk in read_body(receive)])
+
+
 async def send_json(
     send: Send,
     status: int,
--- a/medlardoor/standins/children.py
+++ b/medlardoor/standins/children.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import json
+import secrets
 
 import anyio
 import result
@@ -61,6 +62,9 @@
     Args:
         settings: Settings of the upstream stand-in.
         pool: Connections to use.
+
+    Attributes:
+        egress: Address that controlled calls are sent to.
     """
 
     def __init__(
@@ -71,28 +75,35 @@
         self._settings = settings
         self._pool = pool
         self._turn = itertools.count(settings.seed)
+        self._runs = itertools.count(1)
+        self._prefix = secrets.token_hex(3)
+        self.egress = settings.egress
 
     async def run(self, parent: ParentCall) -> result.Result[int, ChildFailed]:
         """Makes all child calls of a request.
 
+        The calls of each run have request ids of their own, so that a record
+        with one id twice shows a retry of the call and not of its parent.
+
         Returns:
             The number of calls, or the first failure.
         """
         done = 0
+        run = f"{self._prefix}{next(self._runs)}"
         for child in self._settings.children:
             if not parent.target.startswith(child.on_path):
                 continue
-            outcome = await self._run_group(child, parent)
+            outcome = await self._run_group(child, parent, run)
             if outcome.is_err():
                 return outcome
             done += child.count
         return result.Ok(done)
 
-    async def _run_group(self, child, parent):
+    async def _run_group(self, child, parent, run):
         failures = []
 
         async def call(index):
-            outcome = await self._call(child, parent, index)
+            outcome = await self._call(child, parent, f"{run}.{index}")
             if outcome.is_err():
                 failures.append(outcome)
 
@@ -107,16 +118,14 @@
                     break
         return failures[0] if failures else result.Ok(child.count)
 
-    async def _call(self, child, parent, index):
-        request_id = f"{parent.request_id}/{child.service}.{index}"
+    async def _call(self, child, parent, serial):
+        request_id = f"{parent.request_id}/{child.service}.{serial}"
         identity = digests.RequestIdentity(
             child.method, child.path, request_id, digests.body_digest(b"")
         )
         addresses = self._settings.direct.get(child.service)
         if not addresses:
-            return await self._attempt(
-                child, parent, identity, self._settings.egress
-            )
+            return await self._attempt(child, parent, identity, self.egress)
         outcome = None
         for _ in range(1 + self._settings.direct_retries):
             address = addresses[next(self._turn) % len(addresses)]
--- a/medlardoor/standins/processes.py
+++ b/medlardoor/standins/processes.py
@@ -134,10 +134,16 @@
 
     Args:
         directory: Directory of settings, logs and records.
+        stop_timeout_s: Time to stop before SIGKILL, in seconds.
     """
 
-    def __init__(self, directory: pathlib.Path):
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        stop_timeout_s: float = STOP_TIMEOUT_S,
+    ):
         self.directory = directory
+        self._stop_timeout_s = stop_timeout_s
         self._processes = []
 
     def start(self, name: str, arguments: list[str]) -> ManagedProcess:
@@ -154,13 +160,13 @@
         path.write_text(json.dumps(settings))
         return self.start(name, [*arguments, "--settings", str(path)])
 
-    def stop_all(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
+    def stop_all(self) -> None:
         """Ends all processes, the last started first."""
         processes = self._processes[::-1]
         self._processes = []
         for process in processes:
             process.begin_stop()
-        deadline = time.monotonic() + timeout_s
+        deadline = time.monotonic() + self._stop_timeout_s
         for process in processes:
             process.stop(max(0.0, deadline - time.monotonic()))
 
--- a/medlardoor/standins/upstream.py
+++ b/medlardoor/standins/upstream.py
@@ -112,12 +112,20 @@
                 send,
             )
         elif scope["path"] == "/standin/faults":
-            await self._set_faults(scope, receive, send)
+            await self._set_faults(receive, send)
+        elif scope["path"] == "/standin/egress":
+            await self._set_egress(receive, send)
         else:
             await self._serve(scope, receive, send)
 
-    async def _set_faults(self, scope, receive, send):
-        body = b"".join([chunk async for chunk in answers.read_body(receive)])
+    async def _set_egress(self, receive, send):
+        """Sets the egress address, known only after the node has started."""
+        body = await answers.read_whole_body(receive)
+        self._children.egress = body.decode("latin-1").strip()
+        await answers.send_json(send, 200, {"egress": self._children.egress})
+
+    async def _set_faults(self, receive, send):
+        body = await answers.read_whole_body(receive)
         parsed = faults_module.parse_faults(body)
         if parsed.is_err():
             await answers.send_problem(send, 422, parsed.err_value.message)
