--- a/medlardoor/cli/standins.py
+++ b/medlardoor/cli/standins.py
@@ -1,4 +1,4 @@
-"""Command line of the stand-ins."""
+"""Command line of the stand-ins; not part of the system."""
 
 import sys
 
@@ -6,9 +6,22 @@
 from cleo.commands import command
 from cleo.io.inputs import argv_input
 
-from medlardoor.standins import platform
+from medlardoor.standins import load, platform, server
+from medlardoor.standins import settings as settings_module
 
-__all__ = ["main", "run_platform"]
+__all__ = [
+    "LoadCommand",
+    "PlatformCommand",
+    "UpstreamCommand",
+    "main",
+    "run_load",
+    "run_platform",
+    "run_upstream",
+]
+
+
+def _settings_option():
+    return helpers.option("settings", None, "Settings file, JSON", flag=False)
 
 
 class PlatformCommand(command.Command):
@@ -31,20 +44,67 @@
         return 0
 
 
+class UpstreamCommand(command.Command):
+    """Runs an upstream stand-in."""
+
+    name = "upstream"
+    description = "Run an upstream stand-in."
+    options = [_settings_option()]
+
+    def handle(self) -> int:
+        """Runs until SIGTERM or SIGINT."""
+        server.run_upstream(
+            settings_module.read_settings(
+                self.option("settings"),
+                settings_module.UpstreamStandinSettings,
+            )
+        )
+        return 0
+
+
+class LoadCommand(command.Command):
+    """Runs the load client."""
+
+    name = "load"
+    description = "Send load and verify each answer."
+    options = [_settings_option()]
+
+    def handle(self) -> int:
+        """Runs all phases and prints a summary."""
+        load.run_load(
+            settings_module.read_settings(
+                self.option("settings"), settings_module.LoadSettings
+            )
+        )
+        return 0
+
+
+def _run(command_line: list[str]) -> int:
+    app = application.Application("medlardoor-standins")
+    for each in (PlatformCommand(), UpstreamCommand(), LoadCommand()):
+        app.add(each)
+    return app.run(argv_input.ArgvInput(command_line))
+
+
 def run_platform() -> int:
-    """Entry point of ``medlardoor-standin-platform``."""
-    app = application.Application("medlardoor-standin-platform")
-    app.add(PlatformCommand())
-    arguments = [sys.argv[0], PlatformCommand.name, *sys.argv[1:]]
-    return app.run(argv_input.ArgvInput(arguments))
+    """Runs the platform stand-in with the options of the command line."""
+    return _run([sys.argv[0], "platform", *sys.argv[1:]])
+
+
+def run_upstream() -> int:
+    """Runs the upstream stand-in with the options of the command line."""
+    return _run([sys.argv[0], "upstream", *sys.argv[1:]])
+
+
+def run_load() -> int:
+    """Runs the load client with the options of the command line."""
+    return _run([sys.argv[0], "load", *sys.argv[1:]])
 
 
 def main() -> int:
-    """Entry point of ``python -m medlardoor.cli.standins``."""
-    app = application.Application("medlardoor-standins")
-    app.add(PlatformCommand())
-    return app.run()
+    """Runs the command that the command line names."""
+    return _run(sys.argv)
 
 
 if __name__ == "__main__":
-    raise SystemExit(main())
+    sys.exit(main())
