Add the node process: listeners, executor, egress and control tasks

Cause: the decision classes had no process around them; a request could not pass from a caller through a chain of upstreams.

Change: medlardoor-node serves callers, peers and its own upstream over HTTP/1.1 on uvicorn, forwards over httpcore connections, gossips over UDP, follows the document, and drains on SIGTERM. Keyed calls run by the owner of the key only. Path levels of peers of the own service are not recorded: two peers reported each other's level back, and stock checks stayed refused after the surge was over.

--- a/medlardoor/adoption/watching.py
+++ b/medlardoor/adoption/watching.py
@@ -69,6 +69,10 @@
         now = anyio.current_time()
         if self._next_read_at == float("-inf"):
             await self._read()
+        elif self._controller.phase is controller_module.AdoptionPhase.ISOLATED:
+            # Only an answer shows at once that the node is not cut off.
+            await self._read()
+            await anyio.sleep(_ROLE_INTERVAL_S)
         elif self._controller.is_watcher(now):
             await self._watch()
         elif now >= self._next_read_at or self._controller.is_overdue(now):
--- /dev/null
+++ b/medlardoor/node/apps.py
@@ -0,0 +1,119 @@
+"""The ASGI applications of a node."""
+
+import traceback
+import typing
+
+import logbook
+
+from medlardoor import logs
+from medlardoor.node import (
+    control,
+    egress,
+    exchange,
+    executor,
+    ingress,
+    keyed,
+    parts,
+)
+
+__all__ = ["InProgressCounter", "NodeApps"]
+
+_LOG = logbook.Logger("medlardoor.apps")
+
+App = typing.Callable[..., typing.Awaitable[None]]
+
+
+class InProgressCounter:
+    """ASGI middleware: counts requests in progress and logs failed ones.
+
+    Args:
+        app: Application that serves the requests.
+    """
+
+    def __init__(self, app: App):
+        self._app = app
+        self._count = 0
+
+    @property
+    def count(self) -> int:
+        """Requests in progress."""
+        return self._count
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serves one request."""
+        self._count += 1
+        try:
+            await self._app(scope, receive, send)
+        except exchange.TruncatedAnswer:
+            # The server closes the connection; the caller sees the cut.
+            logs.log_event(_LOG, logbook.WARNING, "answer_truncated")
+            raise
+        except Exception:
+            logs.log_event(
+                _LOG,
+                logbook.ERROR,
+                "request_failed",
+                traceback=traceback.format_exc(),
+            )
+            raise
+        finally:
+            self._count -= 1
+
+
+class _PeerRouter:
+    """Separates control requests from calls on the peer listener."""
+
+    def __init__(self, calls_app: App, control_app: App):
+        self._calls_app = calls_app
+        self._control_app = control_app
+
+    async def __call__(self, scope, receive, send) -> None:
+        if scope["type"] != "http":
+            return
+        if scope["path"].startswith(control.CONTROL_PREFIX):
+            await self._control_app(scope, receive, send)
+            return
+        await self._calls_app(scope, receive, send)
+
+
+class NodeApps:
+    """All applications, sharing one executor.
+
+    Args:
+        node: Parts of this node.
+    """
+
+    def __init__(self, node: parts.NodeParts):
+        runner = executor.Executor(node)
+        keyed_calls = keyed.KeyedCalls(node, runner)
+        self._keyed = keyed_calls
+        self._caller = InProgressCounter(
+            ingress.CallerApp(node, runner, keyed_calls)
+        )
+        self._peer_calls = InProgressCounter(
+            ingress.PeerApp(node, runner, keyed_calls)
+        )
+        self._peer = _PeerRouter(
+            self._peer_calls, control.ControlApp(node.board, node.cluster_key)
+        )
+        self._egress = InProgressCounter(egress.EgressApp(node))
+
+    @property
+    def caller(self) -> App:
+        """Application for outside callers."""
+        return self._caller
+
+    @property
+    def peer(self) -> App:
+        """Application for other nodes."""
+        return self._peer
+
+    @property
+    def egress(self) -> App:
+        """Application for the local upstream."""
+        return self._egress
+
+    @property
+    def in_progress(self) -> int:
+        """Requests and runs that a planned stop must wait for."""
+        return self._caller.count + self._peer_calls.count + self._keyed.running
--- /dev/null
+++ b/medlardoor/node/assembly.py
@@ -0,0 +1,244 @@
+"""Builds the parts of a node from its settings."""
+
+import random
+import secrets
+
+import anyio
+import anyio.abc
+
+from medlardoor.admission import controller as admission_controller
+from medlardoor.adoption import controller as adoption_controller
+from medlardoor.adoption import watching
+from medlardoor.blackboard import board as board_module
+from medlardoor.blackboard import topics
+from medlardoor.config import settings as settings_module
+from medlardoor.ledger import keys as keys_module
+from medlardoor.ledger import records
+from medlardoor.membership import directory, gossip
+from medlardoor.node import (
+    calls,
+    configuration,
+    discovery,
+    forwarding,
+    gate,
+    gossiping,
+    listeners,
+    parts,
+    upstream,
+)
+from medlardoor.node import transport as transport_module
+from medlardoor.quarantine import controller as quarantine_controller
+from medlardoor.report import recorder as recorder_module
+from medlardoor.retries import policy as retry_policy
+from medlardoor.retries import throttle as throttle_module
+from medlardoor.routing import path, picker
+from medlardoor.shutdown import drain
+from medlardoor.store import http as store_http
+from medlardoor.wire import authentication
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+__all__ = ["Connections", "build"]
+
+PROCESS_ID_BYTES = 8
+
+
+class Connections:
+    """Client connections of a node.
+
+    Args:
+        settings: Addresses and limits.
+    """
+
+    def __init__(self, settings: settings_module.NodeSettings):
+        self._store = store_http.HttpObjectStore(settings.store)
+        self._nodes = transport_module.HttpTransport()
+        self._upstream = transport_module.HttpTransport(
+            settings.upstream.max_connections
+        )
+
+    @property
+    def store(self) -> store_http.HttpObjectStore:
+        """The platform."""
+        return self._store
+
+    @property
+    def nodes(self) -> transport_module.Transport:
+        """Other nodes."""
+        return self._nodes
+
+    @property
+    def upstream(self) -> transport_module.Transport:
+        """The local upstream."""
+        return self._upstream
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self._nodes.aclose()
+        await self._upstream.aclose()
+        await self._store.aclose()
+
+
+class _Crashes:
+    """Tells the controllers about crashes and starts of the upstream."""
+
+    def __init__(
+        self,
+        quarantine: quarantine_controller.QuarantineController,
+        admission: admission_controller.AdmissionController,
+        push: "_Push",
+    ):
+        self._quarantine = quarantine
+        self._admission = admission
+        self._push = push
+
+    def note_crash(self) -> None:
+        """Blames the requests in flight and tells the peers."""
+        report = self._quarantine.upstream_crashed(anyio.current_time())
+        if report is not None:
+            self._push(ttypes.Message(crash_report=report))
+
+    def note_start(self) -> None:
+        """Begins the cold ramp."""
+        self._admission.restart_upstream(anyio.current_time())
+
+
+class _Push:
+    """Sends a message to all peers from synchronous code."""
+
+    def __init__(
+        self,
+        gossip_task: gossiping.GossipTask,
+        tasks: anyio.abc.TaskGroup,
+    ):
+        self._gossip_task = gossip_task
+        self._tasks = tasks
+
+    def __call__(self, message: ttypes.Message) -> None:
+        self._tasks.start_soon(self._gossip_task.push, message)
+
+
+def build(
+    settings: settings_module.NodeSettings,
+    incarnation: int,
+    sockets: listeners.Listeners,
+    connections: Connections,
+    tasks: anyio.abc.TaskGroup,
+) -> parts.NodeParts:
+    """Builds all parts of a node.
+
+    Args:
+        settings: Validated settings.
+        incarnation: Start number of this process.
+        sockets: Bound listeners.
+        connections: Client connections.
+        tasks: Task group that lives as long as the process.
+    """
+    process_id = secrets.token_hex(PROCESS_ID_BYTES)
+    rng = random.Random(f"{settings.seed}/{settings.instance}")
+    board = board_module.Blackboard(
+        settings.instance, settings.service, settings.failure_domain
+    )
+    key = authentication.ClusterKey(settings.cluster_key)
+    quarantine = quarantine_controller.QuarantineController(
+        settings.quarantine, board, rng
+    )
+    admission = admission_controller.AdmissionController(
+        settings.admission, board, rng
+    )
+    membership = gossip.GossipController(
+        settings.membership,
+        board,
+        rng,
+        _own_member(settings, incarnation, process_id, sockets),
+    )
+    gossip_task = gossiping.GossipTask(
+        settings.membership, board, membership, quarantine, key, sockets.gossip
+    )
+    push = _Push(gossip_task, tasks)
+    crashes = _Crashes(quarantine, admission, push)
+    monitor = upstream.UpstreamMonitor(
+        settings.upstream,
+        board,
+        connections.upstream,
+        crashes.note_crash,
+        crashes.note_start,
+    )
+    finder = discovery.Discovery(
+        board, membership, connections.store, gossip_task.send_all
+    )
+    issuer = keys_module.KeyIssuer(
+        settings.ledger, settings.instance, process_id, settings.cluster_key
+    )
+    throttle = throttle_module.RetryThrottle()
+    adopter = adoption_controller.AdoptionController(
+        settings.membership,
+        board,
+        rng,
+        membership,
+        configuration.DocumentParser(settings.environment),
+    )
+    return parts.NodeParts(
+        settings=settings,
+        process_id=process_id,
+        board=board,
+        cluster_key=key,
+        rng=rng,
+        admission=admission,
+        gate=gate.Gate(admission),
+        membership=membership,
+        nodes=picker.PowerOfTwoPicker(settings.membership, board, rng),
+        paths=path.PathController(board),
+        throttle=throttle,
+        retries=retry_policy.RetryPolicy(throttle, rng),
+        registry=calls.CallRegistry(),
+        upstream=upstream.Upstream(settings.upstream, connections.upstream),
+        forwarder=forwarding.Forwarder(connections.nodes, key),
+        keys=issuer,
+        ledger=records.Ledger(settings.ledger, issuer),
+        quarantine=quarantine,
+        drain=drain.DrainController(settings, board),
+        recorder=recorder_module.OutcomeRecorder(board),
+        tasks=tasks,
+        probe_upstream=monitor.probe,
+        discover=finder.discover,
+        push_quarantine=push,
+        gossip_task=gossip_task,
+        monitor=monitor,
+        discovery=finder,
+        directory_task=directory.DirectoryTask(
+            directory.DirectoryController(settings.membership, membership),
+            connections.store,
+            rng,
+        ),
+        adoption=adopter,
+        configuration_task=configuration.ConfigurationTask(
+            adopter,
+            watching.DocumentWatcher(
+                adopter,
+                connections.store,
+                settings.store,
+                settings.environment,
+                rng,
+            ),
+            connections.nodes,
+            key,
+        ),
+    )
+
+
+def _own_member(
+    settings: settings_module.NodeSettings,
+    incarnation: int,
+    process_id: str,
+    sockets: listeners.Listeners,
+) -> topics.Member:
+    return topics.Member(
+        instance=settings.instance,
+        service=settings.service,
+        incarnation=incarnation,
+        process_id=process_id,
+        host=sockets.peer.host,
+        peer_port=sockets.peer.port,
+        gossip_port=sockets.gossip_port,
+        failure_domain=settings.failure_domain,
+    )
--- /dev/null
+++ b/medlardoor/node/calls.py
@@ -0,0 +1,72 @@
+"""Calls in flight on the local upstream, addressed by call tokens."""
+
+import dataclasses
+import secrets
+
+from medlardoor import errors
+from medlardoor.node import context
+from medlardoor.retries import budget as budget_module
+
+__all__ = ["ActiveCall", "CallRegistry"]
+
+TOKEN_BYTES = 12
+
+
+@dataclasses.dataclass(slots=True)
+class ActiveCall:
+    """One call that may run on the local upstream.
+
+    Attributes:
+        call: Context of the call.
+        budget: Retries that the call and its children may still spend.
+        token: Opaque token that the upstream copies to its outgoing calls.
+        child_ran: Whether a child call was run or may have been run.
+        path_level: Highest admission level that child calls met.
+    """
+
+    call: context.CallContext
+    budget: budget_module.RetryBudget
+    token: str = ""
+    child_ran: bool = False
+    path_level: int = 0
+
+    def take_unspent(self) -> int:
+        """Takes all retries that are left, so that none is spent later."""
+        unspent = 0
+        while self.budget.spend():
+            unspent += 1
+        return unspent
+
+    def record_child(self, outcome: errors.Outcome) -> None:
+        """Notes the outcome of a child call."""
+        if outcome is not errors.Outcome.NOT_RUN:
+            self.child_ran = True
+
+
+class CallRegistry:
+    """Table of the calls in flight on the local upstream."""
+
+    def __init__(self):
+        self._calls: dict[str, ActiveCall] = {}
+        self._next_call_id = 0
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def new_call_id(self) -> int:
+        """Identifier that is unique in this process."""
+        self._next_call_id += 1
+        return self._next_call_id
+
+    def open(self, active: ActiveCall) -> None:
+        """Gives a call its token and accepts outgoing calls for it."""
+        active.token = secrets.token_urlsafe(TOKEN_BYTES)
+        self._calls[active.token] = active
+
+    def close(self, active: ActiveCall) -> None:
+        """Ends a call; later outgoing calls with its token are refused."""
+        self._calls.pop(active.token, None)
+
+    def find(self, token: str) -> ActiveCall | None:
+        """The call in flight with this token, or None."""
+        return self._calls.get(token)
--- /dev/null
+++ b/medlardoor/node/configuration.py
@@ -0,0 +1,111 @@
+"""Follows the document of the environment."""
+
+import anyio
+import logbook
+import result
+
+from medlardoor import errors, logs
+from medlardoor.adoption import controller as controller_module
+from medlardoor.adoption import watching
+from medlardoor.config import document
+from medlardoor.node import control
+from medlardoor.node import transport as transport_module
+from medlardoor.wire import authentication
+
+__all__ = ["ConfigurationTask", "DocumentParser"]
+
+TICK_S = 0.2
+
+_LOG = logbook.Logger("medlardoor.configuration")
+
+
+class DocumentParser(controller_module.ObjectParser):
+    """Parses the enforced text of an object, and the trial text if any.
+
+    Args:
+        environment: Environment that the documents must be for.
+    """
+
+    def __init__(self, environment: str):
+        self._environment = environment
+
+    def parse(
+        self, value: bytes
+    ) -> result.Result[controller_module.ParsedObject, errors.InvalidInput]:
+        """Parses and checks an object."""
+        key = document.document_key(self._environment)
+        stored = document.parse_object(key, value)
+        if stored.is_err():
+            return stored
+        enforced = document.parse_document(key, stored.ok().enforced)
+        if enforced.is_err():
+            return enforced
+        if enforced.ok().environment != self._environment:
+            fault = errors.Fault("$.environment", 0, repr(self._environment))
+            return result.Err(errors.InvalidInput(key, (fault,)))
+        if stored.ok().trial is None:
+            return result.Ok(controller_module.ParsedObject(enforced.ok()))
+        trial = document.parse_document(key, stored.ok().trial)
+        # A wrong trial text must not keep the enforced one from adoption.
+        return result.Ok(
+            controller_module.ParsedObject(enforced.ok(), trial.ok())
+        )
+
+
+class ConfigurationTask:
+    """Adopts documents from the platform and from other nodes.
+
+    Args:
+        controller: Decides what is adopted and fetched.
+        watcher: Calls of the platform.
+        transport: Connections to other nodes.
+        key: Key of the cluster.
+    """
+
+    def __init__(
+        self,
+        controller: controller_module.AdoptionController,
+        watcher: watching.DocumentWatcher,
+        transport: transport_module.Transport,
+        key: authentication.ClusterKey,
+    ):
+        self._controller = controller
+        self._watcher = watcher
+        self._transport = transport
+        self._key = key
+
+    async def run(self) -> None:
+        """Follows the document until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watcher.run)
+            while True:
+                fetch = self._controller.tick(anyio.current_time())
+                if fetch is not None:
+                    tasks.start_soon(self._fetch, fetch)
+                await anyio.sleep(TICK_S)
+
+    async def _fetch(self, fetch: controller_module.Fetch) -> None:
+        member = fetch.member
+        fetched = await control.fetch_document(
+            self._transport, member, self._key
+        )
+        if fetched.is_err():
+            self._controller.fetch_failed(member.instance)
+            logs.log_event(
+                _LOG,
+                logbook.WARNING,
+                "document_not_fetched",
+                instance=member.instance,
+                detail=fetched.err().message,
+            )
+            return
+        now = anyio.current_time()
+        offered = self._controller.offer_transfer(fetched.ok(), now)
+        if isinstance(offered, controller_module.Adopted):
+            logs.log_event(
+                _LOG,
+                logbook.INFO,
+                "document_adopted",
+                version=offered.version,
+                source=member.instance,
+            )
--- /dev/null
+++ b/medlardoor/node/forwarding.py
@@ -0,0 +1,271 @@
+"""Sends calls to other nodes and relays their answers."""
+
+import anyio
+import result
+
+from medlardoor import errors
+from medlardoor.blackboard import topics
+from medlardoor.node import context, exchange
+from medlardoor.node import transport as transport_module
+from medlardoor.wire import authentication, codec
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+__all__ = [
+    "CONTEXT_HEADER",
+    "RESULT_HEADER",
+    "Forwarder",
+    "context_from_header",
+    "context_header",
+    "relay",
+    "result_header",
+]
+
+CONTEXT_HEADER = b"medlardoor-context"
+RESULT_HEADER = b"medlardoor-result"
+
+
+def context_header(
+    call: context.CallContext, key: authentication.ClusterKey, now: float
+) -> bytes:
+    """Encodes a call context; the deadline becomes the time left."""
+    return codec.encode_header(
+        ttypes.CallContext(
+            chain_id=call.chain_id,
+            call_id=call.call_id,
+            team=call.team,
+            kind=call.kind,
+            rank=call.rank,
+            level=call.level,
+            deadline_ms=max(0, int((call.deadline - now) * 1_000)),
+            budget=call.budget,
+            idempotent=call.idempotent,
+            depth=call.depth,
+            key=call.key,
+            document_version=call.document_version,
+            handed_over=call.handed_over,
+            entry_service=call.entry_service,
+            max_wait_ms=int(call.max_wait_s * 1_000),
+        ),
+        key,
+    )
+
+
+def context_from_header(
+    value: bytes, key: authentication.ClusterKey, call_id: int, now: float
+) -> result.Result[context.CallContext, codec.MalformedMessage]:
+    """Decodes a call context received by this node.
+
+    Args:
+        value: Value of the context header.
+        key: Key that authenticates it.
+        call_id: Identifier of the call in this node.
+        now: Current time, in seconds.
+    """
+    decoded = codec.decode_header(ttypes.CallContext, value, key)
+    if decoded.is_err():
+        return decoded
+    struct = decoded.ok()
+    required = (struct.chain_id, struct.kind, struct.level, struct.deadline_ms)
+    if any(field is None for field in required):
+        return result.Err(codec.MalformedMessage("missing field"))
+    return result.Ok(
+        context.CallContext(
+            chain_id=struct.chain_id,
+            call_id=call_id,
+            team=struct.team or "",
+            kind=struct.kind,
+            rank=struct.rank or 0,
+            level=struct.level,
+            deadline=now + struct.deadline_ms / 1_000,
+            budget=max(0, struct.budget or 0),
+            idempotent=bool(struct.idempotent),
+            max_wait_s=(struct.max_wait_ms or 0) / 1_000,
+            depth=struct.depth or 0,
+            key=struct.key or "",
+            document_version=struct.document_version or 0,
+            handed_over=bool(struct.handed_over),
+            entry_service=struct.entry_service or "",
+        )
+    )
+
+
+def result_header(
+    call_result: context.CallResult, key: authentication.ClusterKey
+) -> bytes:
+    """Encodes what a node reports with an answer."""
+    return codec.encode_header(
+        ttypes.CallResult(
+            outcome=call_result.outcome,
+            reason=call_result.reason,
+            unspent_budget=call_result.unspent_budget,
+            path_level=call_result.path_level,
+            document_version=call_result.document_version,
+            retry_after_ms=call_result.retry_after_ms,
+        ),
+        key,
+    )
+
+
+def _result_from_header(
+    value: bytes | None, key: authentication.ClusterKey
+) -> context.CallResult | None:
+    if value is None:
+        return None
+    decoded = codec.decode_header(ttypes.CallResult, value, key)
+    if decoded.is_err():
+        return None
+    struct = decoded.ok()
+    if struct.outcome not in {item.value for item in errors.Outcome}:
+        return None
+    return context.CallResult(
+        outcome=struct.outcome,
+        reason=struct.reason or "",
+        unspent_budget=max(0, struct.unspent_budget or 0),
+        path_level=struct.path_level or 0,
+        document_version=struct.document_version or 0,
+        retry_after_ms=struct.retry_after_ms or 0,
+    )
+
+
+async def relay(
+    response: transport_module.Response, reply: exchange.Reply
+) -> None:
+    """Copies an answer to the caller.
+
+    Raises:
+        exchange.TruncatedAnswer: If the answer ended early.
+    """
+    await reply.start_answer(
+        response.status, exchange.without_hop_headers(response.headers)
+    )
+    async for chunk in response.chunks():
+        if chunk:
+            await reply.write(chunk)
+    await reply.end()
+
+
+class Forwarder:
+    """Sends a call to one node and relays its answer.
+
+    Args:
+        transport: Connections to other nodes.
+        key: Key that authenticates contexts and results.
+        connect_timeout_s: Time limit for a new connection, in seconds.
+    """
+
+    def __init__(
+        self,
+        transport: transport_module.Transport,
+        key: authentication.ClusterKey,
+        connect_timeout_s: float = 1.0,
+    ):
+        self._transport = transport
+        self._key = key
+        self._connect_timeout_s = connect_timeout_s
+
+    async def send(
+        self,
+        member: topics.Member,
+        call: context.CallContext,
+        request: exchange.Request,
+        body: exchange.RequestBody,
+        reply: exchange.Reply,
+    ) -> tuple[
+        context.CallResult | None,
+        result.Result[None, errors.Refusal],
+    ]:
+        """Sends a call and relays an answer of the upstream.
+
+        Args:
+            member: Node to send to.
+            call: Context to send; its budget is the share of this call.
+            request: Head of the request.
+            body: Body of the request; must be replayable.
+            reply: Receives the answer if there is one.
+
+        Returns:
+            What the other node reported (None if its answer was lost), and
+            `Ok` if the answer was relayed or the reason why there is none.
+        """
+        outgoing = transport_module.OutgoingRequest(
+            method=request.method,
+            target=request.target,
+            headers=[
+                *exchange.without_hop_headers(request.headers),
+                *_transfer_encoding(request),
+                (
+                    CONTEXT_HEADER,
+                    context_header(call, self._key, anyio.current_time()),
+                ),
+            ],
+            body=body.chunks() if request.framing_headers else b"",
+        )
+        sent = await self._transport.send(
+            transport_module.Address(member.host, member.peer_port),
+            outgoing,
+            self._connect_timeout_s,
+        )
+        if sent.is_err():
+            return None, result.Err(_transport_refusal(sent.err()))
+        response = sent.ok()
+        try:
+            return await self._finish(response, reply)
+        finally:
+            await response.aclose()
+
+    async def _finish(
+        self, response: transport_module.Response, reply: exchange.Reply
+    ) -> tuple[
+        context.CallResult | None,
+        result.Result[None, errors.Refusal],
+    ]:
+        report = _result_from_header(
+            exchange.header_value(response.headers, RESULT_HEADER), self._key
+        )
+        if report is None:
+            refusal = errors.Refusal(
+                errors.Outcome.UNKNOWN,
+                errors.Reason.NODE_UNREACHABLE,
+                "The other node answered without a valid result.",
+            )
+            return None, result.Err(refusal)
+        if report.outcome == errors.Outcome.ANSWERED.value:
+            await relay(response, reply)
+            return report, result.Ok(None)
+        # Reading the problem document keeps the connection reusable.
+        async for _ in response.chunks():
+            pass
+        return report, result.Err(_reported_refusal(report))
+
+
+def _transfer_encoding(request: exchange.Request) -> exchange.Headers:
+    return [
+        header
+        for header in request.framing_headers
+        if header[0] == b"transfer-encoding"
+    ]
+
+
+def _transport_refusal(
+    failure: transport_module.TransportFailure,
+) -> errors.Refusal:
+    outcome = (
+        errors.Outcome.UNKNOWN if failure.dispatched else errors.Outcome.NOT_RUN
+    )
+    return errors.Refusal(
+        outcome, errors.Reason.NODE_UNREACHABLE, failure.message
+    )
+
+
+def _reported_refusal(report: context.CallResult) -> errors.Refusal:
+    try:
+        reason = errors.Reason(report.reason)
+    except ValueError:
+        reason = errors.Reason.UPSTREAM_FAILED
+    return errors.Refusal(
+        errors.Outcome(report.outcome),
+        reason,
+        "",
+        report.retry_after_ms,
+        report.unspent_budget,
+    )
--- /dev/null
+++ b/medlardoor/node/gossiping.py
@@ -0,0 +1,161 @@
+"""Gossip socket of a node: sends and receives messages of the group."""
+
+import socket
+
+import anyio
+import anyio.abc
+import logbook
+
+from medlardoor import logs
+from medlardoor.blackboard import board as board_module
+from medlardoor.blackboard import topics
+from medlardoor.config import settings as settings_module
+from medlardoor.membership import gossip, messages
+from medlardoor.quarantine import controller as quarantine_controller
+from medlardoor.wire import authentication, codec
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+__all__ = ["GossipTask"]
+
+PUBLISH_INTERVAL_S = 0.1
+
+_LOG = logbook.Logger("medlardoor.gossip")
+
+
+class GossipTask:
+    """Runs the gossip controller on a UDP socket.
+
+    Args:
+        settings: Intervals of membership.
+        board: Shared state.
+        controller: Gossip decisions.
+        quarantine: Receives crash reports and updates.
+        key: Key that authenticates datagrams.
+        sock: Bound UDP socket.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.GossipSettings,
+        board: board_module.Blackboard,
+        controller: gossip.GossipController,
+        quarantine: quarantine_controller.QuarantineController,
+        key: authentication.ClusterKey,
+        sock: socket.socket,
+    ):
+        self._settings = settings
+        self._board = board
+        self._controller = controller
+        self._quarantine = quarantine
+        self._key = key
+        self._socket = sock
+        self._udp: anyio.abc.UDPSocket | None = None
+        # Two tasks may not write to the socket at the same moment.
+        self._send_lock = anyio.Lock()
+        self._state = topics.MemberState.STARTING
+        self._malformed = 0
+        self._sent_bytes = 0
+
+    @property
+    def malformed(self) -> int:
+        """Datagrams that were dropped because they were not valid."""
+        return self._malformed
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent since the start."""
+        return self._sent_bytes
+
+    @property
+    def state(self) -> topics.MemberState:
+        """State that the node announces."""
+        return self._state
+
+    async def run(self) -> None:
+        """Sends and receives until cancelled."""
+        self._udp = await anyio.abc.UDPSocket.from_socket(self._socket)
+        async with self._udp, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._tick)
+            tasks.start_soon(self._publish_regularly)
+            async for data, _ in self._udp:
+                await self._receive(data)
+
+    async def announce(self, state: topics.MemberState) -> None:
+        """Changes the announced state and pushes it at once."""
+        self._state = state
+        await self.publish()
+
+    async def publish(self) -> None:
+        """Hands the current load to the controller and sends its pushes."""
+        limits = self._board.limits
+        load = messages.LoadReport(
+            slots=limits.limit,
+            in_flight=limits.in_flight,
+            queued=limits.queued,
+            level=limits.effective_level,
+            document_version=self._board.policy.version,
+            warmth_percent=limits.warmth_percent,
+            refused_rank=limits.refused_rank,
+        )
+        now = anyio.current_time()
+        await self.send_all(self._controller.publish(self._state, load, now))
+
+    async def send_all(self, sends: list[messages.Send]) -> None:
+        """Sends digests; a failed send is left to the next round."""
+        for send in sends:
+            message = ttypes.Message(digest=send.digest)
+            await self._send(message, send.host, send.port)
+
+    async def push(self, message: ttypes.Message) -> None:
+        """Sends a message to all known members of the own service."""
+        for member in list(self._board.membership.members.values()):
+            await self._send(message, member.host, member.gossip_port)
+
+    async def _send(
+        self, message: ttypes.Message, host: str, port: int
+    ) -> None:
+        data = codec.seal_datagram(message, self._key)
+        if self._udp is None or len(data) > codec.MAX_DATAGRAM_BYTES:
+            return
+        self._sent_bytes += len(data)
+        try:
+            async with self._send_lock:
+                await self._udp.sendto(data, host, port)
+        except OSError as error:
+            logs.log_event(
+                _LOG,
+                logbook.WARNING,
+                "datagram_not_sent",
+                error=type(error).__name__,
+            )
+
+    async def _tick(self) -> None:
+        while True:
+            now = anyio.current_time()
+            await self.send_all(self._controller.tick(now))
+            await anyio.sleep(self._settings.interval_s)
+
+    async def _publish_regularly(self) -> None:
+        while True:
+            await self.publish()
+            await anyio.sleep(PUBLISH_INTERVAL_S)
+
+    async def _receive(self, data: bytes) -> None:
+        opened = codec.open_datagram(data, self._key)
+        if opened.is_err():
+            self._malformed += 1
+            logs.log_event(
+                _LOG,
+                logbook.WARNING,
+                "datagram_malformed",
+                detail=opened.err().detail,
+            )
+            return
+        message = opened.ok()
+        now = anyio.current_time()
+        if message.digest is not None:
+            await self.send_all(self._controller.receive(message.digest, now))
+        elif message.crash_report is not None:
+            self._quarantine.receive_crash_report(message.crash_report, now)
+        elif message.quarantine_update is not None:
+            self._quarantine.receive_update(message.quarantine_update, now)
--- /dev/null
+++ b/medlardoor/node/ingress.py
@@ -0,0 +1,340 @@
+"""Listeners for calls to the own service: outside callers and other nodes."""
+
+import functools
+import json
+
+import anyio
+import logbook
+import result
+
+from medlardoor import errors, logs
+from medlardoor.blackboard import topics
+from medlardoor.node import (
+    arrival,
+    calls,
+    context,
+    exchange,
+    executor,
+    forwarding,
+    keyed,
+    parts,
+    problems,
+)
+from medlardoor.retries import budget as budget_module
+
+__all__ = ["CallerApp", "PeerApp"]
+
+KEYS_PATH = "/.medlardoor/keys"
+NEXT_KEY_HEADER = b"idempotency-key-next"
+KEY_HEADER = b"idempotency-key"
+MAX_KEYS_BODY_BYTES = 256
+
+_LOG = logbook.Logger("medlardoor.ingress")
+
+_KEY_REASONS = frozenset(
+    {errors.Reason.KEY_REQUIRED, errors.Reason.KEY_INVALID}
+)
+
+
+class _IngressApp:
+    """What both listeners share: running a call and reporting its end."""
+
+    def __init__(
+        self,
+        node: parts.NodeParts,
+        runner: executor.Executor,
+        keyed_calls: keyed.KeyedCalls,
+    ):
+        self._node = node
+        self._runner = runner
+        self._keyed = keyed_calls
+
+    def _closing(self) -> bool:
+        return self._node.board.shutdown.phase is not topics.Phase.SERVING
+
+    async def _run(
+        self, work: executor.Work, by_owner: bool
+    ) -> result.Result[None, errors.Refusal]:
+        """Runs the call; leaves early if the caller goes away.
+
+        Raises:
+            exchange.CallerGone: If the caller closed the connection.
+        """
+        run = self._keyed.run if by_owner else self._runner.run
+        return await exchange.run_while_connected(
+            work.body, functools.partial(run, work)
+        )
+
+    def _record(
+        self,
+        call: context.CallContext,
+        outcome: errors.Outcome,
+        reason: errors.Reason | None,
+        started_at: float,
+    ) -> None:
+        now = anyio.current_time()
+        self._node.recorder.record(call, outcome, reason, now - started_at, now)
+        if reason is not None:
+            logs.log_event(
+                _LOG,
+                logbook.INFO,
+                "call_refused",
+                chain_id=call.chain_id.hex(),
+                kind=call.kind,
+                outcome=outcome.value,
+                reason=reason.value,
+            )
+
+
+class CallerApp(_IngressApp):
+    """ASGI application for outside callers."""
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Handles one request."""
+        if scope["type"] != "http":
+            return
+        request = exchange.Request.from_scope(scope)
+        body = exchange.RequestBody(receive)
+        if request.path == KEYS_PATH:
+            await self._issue_keys(request, body, exchange.Reply(send))
+            return
+        reply = exchange.Reply(send, closing=self._closing())
+        try:
+            await self._serve(request, body, reply)
+        except exchange.CallerGone:
+            return
+
+    async def _serve(
+        self,
+        request: exchange.Request,
+        body: exchange.RequestBody,
+        reply: exchange.Reply,
+    ) -> None:
+        node = self._node
+        board = node.board
+        has_key = request.header(KEY_HEADER) is not None
+        refusal = arrival.refusal_before_arrival(board, has_key)
+        if refusal is not None:
+            await problems.send_problem(reply, refusal)
+            return
+        started_at = anyio.current_time()
+        arrived = arrival.new_call(
+            board.policy.policy,
+            board.service,
+            request,
+            node.registry.new_call_id(),
+            started_at,
+            board.policy.version,
+        )
+        if arrived.is_err():
+            await problems.send_problem(reply, arrived.err())
+            return
+        call = arrived.ok()
+        reply.set_answer_headers(lambda: self._answer_headers(call))
+        self._evaluate_trial(call, request, started_at)
+        ended = await self._run_call(call, request, body, reply)
+        if ended.is_ok():
+            self._record(call, errors.Outcome.ANSWERED, None, started_at)
+            return
+        refusal = ended.err()
+        self._record(call, refusal.outcome, refusal.reason, started_at)
+        await self._refuse(reply, refusal, call)
+
+    async def _run_call(
+        self,
+        call: context.CallContext,
+        request: exchange.Request,
+        body: exchange.RequestBody,
+        reply: exchange.Reply,
+    ) -> result.Result[None, errors.Refusal]:
+        active = calls.ActiveCall(call, budget_module.RetryBudget(call.budget))
+        work = executor.Work(active, request, body, reply)
+        if not call.key and not call.idempotent:
+            return result.Err(
+                errors.Refusal(
+                    errors.Outcome.NOT_RUN,
+                    errors.Reason.KEY_REQUIRED,
+                    "This kind needs an idempotency key issued by a node; "
+                    "send the request again with the one in this answer.",
+                )
+            )
+        return await self._run(work, by_owner=bool(call.key))
+
+    async def _refuse(
+        self,
+        reply: exchange.Reply,
+        refusal: errors.Refusal,
+        call: context.CallContext,
+    ) -> None:
+        headers: exchange.Headers = []
+        if refusal.reason in _KEY_REASONS or not call.key:
+            headers.append((KEY_HEADER, self._new_key()))
+        await problems.send_problem(
+            reply, refusal, call.chain_id, call.kind, headers
+        )
+
+    def _answer_headers(self, call: context.CallContext) -> exchange.Headers:
+        headers = [
+            (problems.OUTCOME_HEADER, errors.Outcome.ANSWERED.value.encode())
+        ]
+        if not call.idempotent:
+            headers.append((NEXT_KEY_HEADER, self._new_key()))
+        return headers
+
+    def _new_key(self) -> bytes:
+        return self._node.keys.issue(1, anyio.current_time())[0].encode()
+
+    def _evaluate_trial(
+        self,
+        call: context.CallContext,
+        request: exchange.Request,
+        now: float,
+    ) -> None:
+        """Records what the document on trial would refuse."""
+        board = self._node.board
+        if board.policy.trial is None:
+            return
+        tried = arrival.new_call(
+            board.policy.trial, board.service, request, 0, now, 0
+        )
+        if tried.is_err():
+            reason = tried.err().reason
+        else:
+            level = max(
+                board.limits.effective_level,
+                self._node.paths.level_for(call.kind, now),
+            )
+            rank_offset = call.level - call.rank * 128
+            if tried.ok().rank * 128 + rank_offset >= level:
+                return
+            reason = errors.Reason.OVERLOAD
+        self._node.recorder.record_trial_refusal(call, reason, now)
+
+    async def _issue_keys(
+        self,
+        request: exchange.Request,
+        body: exchange.RequestBody,
+        reply: exchange.Reply,
+    ) -> None:
+        try:
+            data = await body.read_prefix()
+        except exchange.CallerGone:
+            return
+        count = _key_count(data)
+        if request.method != "POST" or count is None:
+            refusal = errors.Refusal(
+                errors.Outcome.NOT_RUN,
+                errors.Reason.INVALID_REQUEST,
+                'Expected POST with {"count": 1 to 256}.',
+            )
+            await problems.send_problem(reply, refusal)
+            return
+        keys = self._node.keys.issue(count, anyio.current_time())
+        await reply.send_whole(
+            200,
+            [(b"content-type", b"application/json")],
+            json.dumps({"keys": list(keys)}).encode(),
+        )
+
+
+class PeerApp(_IngressApp):
+    """ASGI application for calls from other nodes."""
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Handles one call."""
+        if scope["type"] != "http":
+            return
+        request = exchange.Request.from_scope(scope)
+        body = exchange.RequestBody(receive)
+        reply = exchange.Reply(send, closing=self._closing())
+        now = anyio.current_time()
+        decoded = forwarding.context_from_header(
+            request.header(forwarding.CONTEXT_HEADER) or b"",
+            self._node.cluster_key,
+            self._node.registry.new_call_id(),
+            now,
+        )
+        if decoded.is_err():
+            refusal = errors.Refusal(
+                errors.Outcome.NOT_RUN,
+                errors.Reason.INVALID_REQUEST,
+                decoded.err().message,
+            )
+            logs.log_event(_LOG, logbook.WARNING, "context_invalid")
+            await problems.send_problem(reply, refusal)
+            return
+        try:
+            await self._serve(decoded.ok(), request, body, reply)
+        except exchange.CallerGone:
+            return
+
+    async def _serve(
+        self,
+        call: context.CallContext,
+        request: exchange.Request,
+        body: exchange.RequestBody,
+        reply: exchange.Reply,
+    ) -> None:
+        started_at = anyio.current_time()
+        self._node.adoption.see_version_only(call.document_version, started_at)
+        active = calls.ActiveCall(call, budget_module.RetryBudget(call.budget))
+        reply.set_answer_headers(
+            lambda: self._result_headers(
+                active, errors.Outcome.ANSWERED, None, 0
+            )
+        )
+        work = executor.Work(active, request, body, reply)
+        refusal = arrival.refusal_before_arrival(
+            self._node.board, bool(call.key) and not call.handed_over
+        )
+        if refusal is None:
+            owned = bool(call.key) and call.depth == 0 and not call.handed_over
+            ended = await self._run(work, by_owner=owned)
+            if ended.is_ok():
+                self._record(call, errors.Outcome.ANSWERED, None, started_at)
+                return
+            refusal = ended.err()
+        self._record(call, refusal.outcome, refusal.reason, started_at)
+        headers = self._result_headers(
+            active, refusal.outcome, refusal.reason, refusal.retry_after_ms
+        )
+        await problems.send_problem(
+            reply, refusal, call.chain_id, call.kind, headers
+        )
+
+    def _result_headers(
+        self,
+        active: calls.ActiveCall,
+        outcome: errors.Outcome,
+        reason: errors.Reason | None,
+        retry_after_ms: int,
+    ) -> exchange.Headers:
+        board = self._node.board
+        # Only levels met by this very call are passed on; remembered ones
+        # would circulate among services that call each other.
+        path_level = max(board.limits.effective_level, active.path_level)
+        call_result = context.CallResult(
+            outcome=outcome.value,
+            reason=reason.value if reason else "",
+            # The whole remainder goes back; none is left to spend here.
+            unspent_budget=active.take_unspent(),
+            path_level=path_level,
+            document_version=board.policy.version,
+            retry_after_ms=retry_after_ms,
+        )
+        value = forwarding.result_header(call_result, self._node.cluster_key)
+        return [(forwarding.RESULT_HEADER, value)]
+
+
+def _key_count(data: bytes) -> int | None:
+    """Number of keys asked for, or None if the body is not valid."""
+    if len(data) > MAX_KEYS_BODY_BYTES:
+        return None
+    try:
+        value = json.loads(data or b"{}")
+    except ValueError:
+        return None
+    count = value.get("count", 1) if isinstance(value, dict) else None
+    if not isinstance(count, int) or not 1 <= count <= 256:
+        return None
+    return count
--- /dev/null
+++ b/medlardoor/node/listeners.py
@@ -0,0 +1,84 @@
+"""Sockets that a node listens on."""
+
+import json
+import socket
+
+from medlardoor.config import settings as settings_module
+from medlardoor.node import servers
+
+__all__ = ["Listeners"]
+
+
+class Listeners:
+    """All listeners of a node, bound before anything else is built.
+
+    Args:
+        settings: Addresses of the listeners.
+    """
+
+    def __init__(self, settings: settings_module.NodeSettings):
+        self._caller = servers.HttpListener(settings.caller)
+        self._peer = servers.HttpListener(settings.peer)
+        self._egress = servers.HttpListener(settings.egress)
+        self._admin = servers.HttpListener(
+            settings_module.AddressSettings(
+                host=settings.admin.host, port=settings.admin.port
+            )
+        )
+        self._gossip = _bind_datagram_socket(settings.gossip)
+
+    @property
+    def caller(self) -> servers.HttpListener:
+        """Requests of outside callers."""
+        return self._caller
+
+    @property
+    def peer(self) -> servers.HttpListener:
+        """Calls and control requests of other nodes."""
+        return self._peer
+
+    @property
+    def egress(self) -> servers.HttpListener:
+        """Outgoing calls of the local upstream."""
+        return self._egress
+
+    @property
+    def admin(self) -> servers.HttpListener:
+        """Administration API."""
+        return self._admin
+
+    @property
+    def gossip(self) -> socket.socket:
+        """UDP socket of the group."""
+        return self._gossip
+
+    @property
+    def gossip_port(self) -> int:
+        """UDP port of the group."""
+        return self._gossip.getsockname()[1]
+
+    def all_http(self) -> tuple[servers.HttpListener, ...]:
+        """Listeners that serve HTTP."""
+        return (self._caller, self._peer, self._egress, self._admin)
+
+    def description(self) -> str:
+        """JSON line with all ports, for whoever started the process."""
+        return json.dumps(
+            {
+                "event": "listening",
+                "caller_port": self._caller.port,
+                "peer_port": self._peer.port,
+                "egress_port": self._egress.port,
+                "admin_port": self._admin.port,
+                "gossip_port": self.gossip_port,
+            }
+        )
+
+
+def _bind_datagram_socket(
+    address: settings_module.AddressSettings,
+) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.bind((address.host, address.port))
+    return sock
--- /dev/null
+++ b/medlardoor/node/parts.py
@@ -0,0 +1,103 @@
+"""The parts of one node process, built once and passed whole."""
+
+import dataclasses
+import random
+import typing
+
+import anyio.abc
+
+from medlardoor.admission import controller as admission_controller
+from medlardoor.adoption import controller as adoption_controller
+from medlardoor.blackboard import board as board_module
+from medlardoor.config import settings as settings_module
+from medlardoor.ledger import keys as keys_module
+from medlardoor.ledger import records
+from medlardoor.membership import directory, gossip
+from medlardoor.node import (
+    calls,
+    configuration,
+    forwarding,
+    gate,
+    gossiping,
+    upstream,
+)
+from medlardoor.node import discovery as discovery_module
+from medlardoor.quarantine import controller as quarantine_controller
+from medlardoor.report import recorder as recorder_module
+from medlardoor.retries import policy as retry_policy
+from medlardoor.retries import throttle as throttle_module
+from medlardoor.routing import path, picker
+from medlardoor.shutdown import drain
+from medlardoor.wire import authentication
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+__all__ = ["NodeParts"]
+
+
+@dataclasses.dataclass(slots=True)
+class NodeParts:
+    """Controllers and connections of one node.
+
+    Attributes:
+        settings: Settings of the process.
+        process_id: Random identifier of the process.
+        board: Shared state.
+        cluster_key: Key that authenticates messages between nodes.
+        rng: Seeded random numbers.
+        admission: Admission controller.
+        gate: Waiting side of the admission controller.
+        adoption: Document adoption.
+        membership: Gossip of the service group.
+        nodes: Choice of nodes.
+        paths: Levels of called services.
+        throttle: Retry throttle of this node.
+        retries: Retry decision.
+        registry: Calls in flight.
+        upstream: Local upstream.
+        forwarder: Calls to other nodes.
+        keys: Issuer of idempotency keys.
+        ledger: Records of idempotency keys.
+        quarantine: Crash attribution.
+        drain: Planned stop.
+        recorder: Outcome recorder.
+        tasks: Task group that lives as long as the process.
+        probe_upstream: Reads the load report of the upstream at once.
+        discover: Waits until members of a called service are known.
+        push_quarantine: Sends a message to all peers of the service.
+        gossip_task: Gossip socket.
+        monitor: Load reports of the upstream.
+        discovery: Finds members of called services.
+        directory_task: Reads and writes the directory of the own service.
+        configuration_task: Follows the document of the environment.
+    """
+
+    settings: settings_module.NodeSettings
+    process_id: str
+    board: board_module.Blackboard
+    cluster_key: authentication.ClusterKey
+    rng: random.Random
+    admission: admission_controller.AdmissionController
+    gate: gate.Gate
+    adoption: adoption_controller.AdoptionController
+    membership: gossip.GossipController
+    nodes: picker.NodePicker
+    paths: path.PathController
+    throttle: throttle_module.RetryThrottle
+    retries: retry_policy.RetryPolicy
+    registry: calls.CallRegistry
+    upstream: upstream.Upstream
+    forwarder: forwarding.Forwarder
+    keys: keys_module.KeyIssuer
+    ledger: records.Ledger
+    quarantine: quarantine_controller.QuarantineController
+    drain: drain.DrainController
+    recorder: recorder_module.OutcomeRecorder
+    tasks: anyio.abc.TaskGroup
+    probe_upstream: typing.Callable[[], typing.Awaitable[None]]
+    discover: typing.Callable[[str], typing.Awaitable[None]]
+    push_quarantine: typing.Callable[[ttypes.Message], None]
+    gossip_task: gossiping.GossipTask
+    monitor: upstream.UpstreamMonitor
+    discovery: discovery_module.Discovery
+    directory_task: directory.DirectoryTask
+    configuration_task: configuration.ConfigurationTask
--- /dev/null
+++ b/medlardoor/node/transport.py
@@ -0,0 +1,257 @@
+"""HTTP client side of a node: connections to upstreams and other nodes."""
+
+import abc
+from collections import abc as collections_abc
+import dataclasses
+
+import anyio
+import httpcore
+import result
+
+from medlardoor import errors
+from medlardoor.node import exchange
+
+__all__ = [
+    "Address",
+    "HttpTransport",
+    "OutgoingRequest",
+    "Response",
+    "Transport",
+    "TransportFailure",
+]
+
+# Servers close idle connections after 5 s by default (uvicorn); a connection
+# that is reused shortly before that is lost with the request on it.
+IDLE_EXPIRY_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """IP address and TCP port."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(slots=True)
+class OutgoingRequest:
+    """Request to send.
+
+    Attributes:
+        method: HTTP method.
+        target: Raw path with query.
+        headers: All headers, with the one that frames the body.
+        body: Chunks of the body.
+    """
+
+    method: str
+    target: bytes
+    headers: exchange.Headers
+    body: collections_abc.AsyncIterable[bytes] | bytes = b""
+
+
+@dataclasses.dataclass(frozen=True)
+class TransportFailure(errors.Failure):
+    """A request that got no answer.
+
+    Attributes:
+        dispatched: Whether the other side may have received the request.
+        refused: Whether the connection could not be made.
+        detail: What the transport reported.
+    """
+
+    dispatched: bool
+    refused: bool
+    detail: str
+
+    @property
+    def message(self) -> str:
+        """One sentence for a log line or an operator."""
+        return f"Transport failed: {self.detail}"
+
+
+class Response(abc.ABC):
+    """Answer whose body is still to be read."""
+
+    @property
+    @abc.abstractmethod
+    def status(self) -> int:
+        """HTTP status."""
+
+    @property
+    @abc.abstractmethod
+    def headers(self) -> exchange.Headers:
+        """Headers with names in lower case."""
+
+    @abc.abstractmethod
+    def chunks(self) -> collections_abc.AsyncIterator[bytes]:
+        """Yields the body.
+
+        Raises:
+            exchange.TruncatedAnswer: If the body ended early.
+        """
+
+    @abc.abstractmethod
+    async def aclose(self) -> None:
+        """Releases the connection; closes it if the body was not read."""
+
+
+class Transport(abc.ABC):
+    """Sends requests to one kind of destination."""
+
+    @abc.abstractmethod
+    async def send(
+        self,
+        address: Address,
+        request: OutgoingRequest,
+        connect_timeout_s: float,
+    ) -> result.Result[Response, TransportFailure]:
+        """Sends a request and returns the head of its answer.
+
+        Cancelling the call closes its connection, so that no later request
+        can receive this answer.
+        """
+
+    @abc.abstractmethod
+    async def aclose(self) -> None:
+        """Closes all idle connections."""
+
+
+class HttpTransport(Transport):
+    """HTTP/1.1 over httpcore connections kept in a pool of its own.
+
+    The pool of httpcore costs more than the connections themselves; here an
+    idle connection is taken from a list and put back.
+
+    Args:
+        max_idle: Idle connections kept for each address.
+    """
+
+    def __init__(self, max_idle: int = 64):
+        self._max_idle = max_idle
+        self._idle: dict[Address, list[httpcore.AsyncHTTPConnection]] = {}
+
+    async def send(
+        self,
+        address: Address,
+        request: OutgoingRequest,
+        connect_timeout_s: float,
+    ) -> result.Result[Response, TransportFailure]:
+        """Sends a request and returns the head of its answer."""
+        connection = await self._take(address)
+        outgoing = httpcore.Request(
+            request.method,
+            httpcore.URL(
+                scheme=b"http",
+                host=address.host.encode(),
+                port=address.port,
+                target=request.target,
+            ),
+            headers=request.headers,
+            content=request.body,
+            extensions={"timeout": {"connect": connect_timeout_s}},
+        )
+        try:
+            response = await connection.handle_async_request(outgoing)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            await _close(connection)
+            return result.Err(
+                TransportFailure(False, True, type(error).__name__)
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            httpcore.ConnectionNotAvailable,
+        ) as error:
+            await _close(connection)
+            return result.Err(
+                TransportFailure(True, False, type(error).__name__)
+            )
+        except BaseException:
+            await _close(connection)
+            raise
+        return result.Ok(_HttpResponse(self, address, connection, response))
+
+    async def aclose(self) -> None:
+        """Closes all idle connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                await _close(connection)
+        self._idle.clear()
+
+    async def _take(self, address: Address) -> httpcore.AsyncHTTPConnection:
+        connections = self._idle.get(address)
+        while connections:
+            connection = connections.pop()
+            if connection.is_idle() and not connection.has_expired():
+                return connection
+            await _close(connection)
+        return httpcore.AsyncHTTPConnection(
+            origin=httpcore.Origin(
+                b"http", address.host.encode(), address.port
+            ),
+            keepalive_expiry=IDLE_EXPIRY_S,
+        )
+
+    async def put_back(
+        self, address: Address, connection: httpcore.AsyncHTTPConnection
+    ) -> None:
+        """Keeps a connection for reuse if it is idle, else closes it."""
+        connections = self._idle.setdefault(address, [])
+        if connection.is_idle() and len(connections) < self._max_idle:
+            connections.append(connection)
+            return
+        await _close(connection)
+
+
+class _HttpResponse(Response):
+    """Answer on an httpcore connection."""
+
+    def __init__(
+        self,
+        transport: HttpTransport,
+        address: Address,
+        connection: httpcore.AsyncHTTPConnection,
+        response: httpcore.Response,
+    ):
+        self._transport = transport
+        self._address = address
+        self._connection = connection
+        self._response = response
+        self._headers = [
+            (name.lower(), value) for name, value in response.headers
+        ]
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> exchange.Headers:
+        """Headers with names in lower case."""
+        return self._headers
+
+    async def chunks(self) -> collections_abc.AsyncIterator[bytes]:
+        """Yields the body."""
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield chunk
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise exchange.TruncatedAnswer(type(error).__name__) from error
+
+    async def aclose(self) -> None:
+        """Releases the connection."""
+        with anyio.CancelScope(shield=True):
+            await self._response.aclose()
+            await self._transport.put_back(self._address, self._connection)
+
+
+async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
+    with anyio.CancelScope(shield=True):
+        await connection.aclose()
--- a/medlardoor/wire/authentication.py
+++ b/medlardoor/wire/authentication.py
@@ -26,6 +26,11 @@
         """Whether `mac` belongs to `data`, compared in constant time."""
         return hmac.compare_digest(self.mac(data), mac)
 
+    @staticmethod
+    def same(first: bytes, second: bytes) -> bool:
+        """Compares two codes in constant time."""
+        return hmac.compare_digest(first, second)
+
     def derive(self, purpose: str) -> "ClusterKey":
         """Key for one purpose, so that codes cannot be used for another."""
         digest = hashlib.sha256(self._secret + b"/" + purpose.encode())
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -70,6 +70,7 @@
   13: bool handed_over,        // The sender decided; the receiver must not
                                // hand the request over again.
   14: string entry_service,    // Service that the kind enters at.
+  15: i32 max_wait_ms,
 }
 
 struct CallResult {
