Tell queueing of an upstream from slowness of its own

Cause: with lying reports the limit never fell, because the connections ended before the limit was in use; a service slow tenfold lost its limit. Change: the limit falls towards the concurrency proven without queueing, and latency that stays there counts as the upstream's own; time in outgoing calls is left out; path levels report the lowest level of the service; retry hints follow the queue.

--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -12,6 +12,7 @@
     service_times,
 )
 from medlardoor.blackboard import board as board_module
+from medlardoor.blackboard import topics
 from medlardoor.config import policy as policy_module
 from medlardoor.config import settings as settings_module
 from medlardoor.node import context
@@ -87,12 +88,17 @@
     Attributes:
         latency_s: Time from start to end, in seconds.
         outcome: What is known about the run.
-        shed: Whether the upstream refused the request because of its load.
+        shed: Whether the upstream refused the request, or the connection,
+            because of its own load; not if a call below was refused.
+        called_s: Part of the latency in which the upstream waited for its
+            outgoing calls, in seconds. Without it, a slow service below
+            looks like overload of this upstream.
     """
 
     latency_s: float
     outcome: errors.Outcome
     shed: bool = False
+    called_s: float = 0.0
 
 
 class AdmissionController:
@@ -259,9 +265,8 @@
         self._completions += 1
         if ok and not completion.shed:
             self._times.record(call.kind, completion.latency_s, now)
-        self._limit.finished(
-            call.kind, completion.latency_s, ok, completion.shed, now
-        )
+        own_s = max(0.0, completion.latency_s - completion.called_s)
+        self._limit.finished(call.kind, own_s, ok, completion.shed, now)
 
     def _fill(self, now) -> list[Start | Drop]:
         actions: list[Start | Drop] = []
@@ -294,11 +299,7 @@
             len(self._queue),
             capacity_rate * wait_s,
         )
-        self._hints.update(
-            len(self._queue),
-            capacity_rate,
-            self._level.offered / self._settings.interval_s,
-        )
+        self._hints.update(len(self._queue), capacity_rate)
 
     def _capacity_rate(self, now: float) -> float | None:
         """Calls that can start in a second; None if it is not known yet."""
@@ -312,6 +313,21 @@
     def _refuse(self, call, reason) -> Refused:
         return Refused(self.refusal(call, reason))
 
+    @property
+    def path_level(self) -> int:
+        """Level to report to callers of this service.
+
+        A call that is refused here is forwarded to a peer with a lower level,
+        and members above the level of a call are not selected. So callers
+        are told the lowest level of the service and not the one of this
+        node, but never less than the floor from refusals.
+        """
+        lowest = self._level.value
+        for member in self._board.membership.members.values():
+            if member.state is topics.MemberState.SERVING:
+                lowest = min(lowest, member.level)
+        return max(lowest, self._floor.level)
+
     def refusal(
         self,
         call: context.CallContext,
--- a/medlardoor/admission/limits.py
+++ b/medlardoor/admission/limits.py
@@ -4,7 +4,7 @@
 import collections
 import math
 
-from medlardoor.admission import baselines
+from medlardoor.admission import baselines, proven
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
 from medlardoor.config import policy as policy_module
@@ -27,11 +27,8 @@
 # A limit counts as in use when this share of it was reached in the window.
 _IN_USE_SHARE = 0.9
 
-# Part of the limit that is taken away before the effect is judged, and the
-# fall of the latency ratio that shows that the upstream was queueing. If
-# queueing causes the latency, both fall by the same share.
-_PROBE_SHARE = 0.75
-_PROBE_RATIO = 0.87
+# Room above the concurrency that the upstream runs without queueing.
+_HEADROOM = 1.1
 
 
 class ConcurrencyLimit(abc.ABC):
@@ -57,7 +54,8 @@
 
         Args:
             kind: Kind of the request.
-            latency_s: Time from start to end, in seconds.
+            latency_s: Time on the upstream without the time in outgoing
+                calls, in seconds.
             ok: Whether the upstream answered.
             shed: Whether the upstream refused it because of its load.
             now: Current time, in seconds.
@@ -80,10 +78,13 @@
     """Lower of the reported slots and a limit from latency.
 
     The latency of each kind is compared with the lowest that this kind had,
-    so that a change in the mix of kinds does not look like overload. When the
-    latency stays high although the limit was lowered, the upstream is slow by
-    itself: the limit is restored and the higher latency becomes the normal
-    one until it falls.
+    so that a change in the mix of kinds does not look like overload. High
+    latency has two causes that call for opposite reactions. If the upstream
+    queues by itself, the limit has to fall; if it is slow by itself, a lower
+    limit would only lose throughput. The concurrency that was seen without
+    queueing within the baseline window tells them apart: a limit above it is
+    lowered towards it, and latency that stays high there is the upstream's
+    own. It then counts as normal until it falls.
 
     Args:
         settings: Settings of admission.
@@ -100,10 +101,10 @@
         self._adaptive = math.inf
         self._baselines = baselines.LatencyBaselines(settings)
         self._slowdown = 1.0
-        self._probe: tuple[float, float] | None = None
+        self._restore: float | None = None
+        self._proven = proven.ProvenConcurrency(settings)
         self._restarted_at = -math.inf
         self._proven_at = -math.inf
-        self._in_flight = 0
         self._open_window(-math.inf)
 
     def limit(self, now: float) -> int:
@@ -121,7 +122,6 @@
 
     def started(self, in_flight: int, now: float) -> None:
         """Notes the concurrency after a request was started."""
-        self._in_flight = in_flight
         self._peak = max(self._peak, in_flight)
 
     def finished(
@@ -153,15 +153,14 @@
         if len(self._samples) < _MIN_SAMPLES:
             return
         ratio = self._baselines.ratio(self._samples) / self._slowdown
-        in_use = self._peak >= self.limit(now) * _IN_USE_SHARE
         if self.warmth_percent(now) == 100:
-            self._adapt(ratio, in_use)
+            self._adapt(ratio, now)
         self._open_window(now)
 
     def restart(self, now: float) -> None:
         """Begins the cold ramp of a restarted upstream."""
         self._restarted_at = now
-        self._probe = None
+        self._restore = None
         self._open_window(now)
 
     def warmth_percent(self, now: float) -> int:
@@ -174,27 +173,22 @@
         share = cold + (1.0 - cold) * max(0.0, age) / ramp_s
         return int(100 * share)
 
-    def _adapt(self, ratio: float, in_use: bool) -> None:
+    def _adapt(self, ratio: float, now: float) -> None:
         if ratio < 1.0:
             # The upstream is faster again than what was taken as normal.
             self._slowdown = max(1.0, self._slowdown * ratio)
-        if not in_use:
-            self._probe = None
-            return
-        if ratio > self._settings.latency_factor:
-            self._shrink()
-            self._judge_probe(ratio)
-            return
-        self._probe = None
+        in_use = self._peak >= self.limit(now) * _IN_USE_SHARE
         if ratio < _GROWTH_RATIO:
-            self._grow()
+            self._proven.record(self._peak, now)
+            self._restore = None
+            if in_use:
+                self._grow()
             return
-        # Little's law: the concurrency without queueing is the concurrency
-        # divided by the ratio. The limit approaches it, with room to see
-        # whether the upstream can run more.
-        busy = self._peak / ratio * 1.1
-        step_down = self._adaptive * self._settings.shrink_factor
-        self._adaptive = min(self._adaptive, max(busy, step_down))
+        bound = self._proven.highest * _HEADROOM
+        if self._peak > bound:
+            self._lower(ratio, bound)
+        elif ratio > self._settings.latency_factor:
+            self._accept_slowness(ratio)
 
     def _grow(self) -> None:
         grown = self._adaptive + max(1.0, math.sqrt(self._adaptive))
@@ -202,20 +196,25 @@
         bound = max(self._adaptive, self._ceiling())
         self._adaptive = min(grown, bound)
 
-    def _judge_probe(self, ratio: float) -> None:
-        if self._probe is None:
-            self._probe = (self._adaptive / self._settings.shrink_factor, ratio)
-            return
-        before, before_ratio = self._probe
-        if self._adaptive > before * _PROBE_SHARE:
-            return
-        self._probe = None
-        if ratio > before_ratio * _PROBE_RATIO:
-            self._slowdown *= ratio
-            self._adaptive = before
+    def _lower(self, ratio: float, bound: float) -> None:
+        # Little's law: of the concurrency, one part in `ratio` is work and
+        # the rest is queueing.
+        busy = self._peak / ratio * _HEADROOM
+        if self._restore is None:
+            self._restore = self._adaptive
+        floor = max(busy, bound, float(self._settings.min_limit))
+        self._adaptive = min(self._adaptive, floor)
+
+    def _accept_slowness(self, ratio: float) -> None:
+        self._slowdown *= ratio
+        if self._restore is not None:
+            self._adaptive = max(self._adaptive, self._restore)
+            self._restore = None
 
     def _shrink(self) -> None:
         reached = min(self._adaptive, self._ceiling())
+        if self._peak:
+            reached = min(reached, self._peak)
         floor = self._settings.min_limit
         shrunk = reached * self._settings.shrink_factor
         self._adaptive = max(float(floor), shrunk)
@@ -225,7 +224,7 @@
         # and are not counted in the new window.
         self._window_at = now
         self._samples: collections.deque = collections.deque(maxlen=2_000)
-        self._peak = self._in_flight
+        self._peak = 0
         self._shed = False
 
     def _policy(self) -> policy_module.ServicePolicy:
--- a/medlardoor/admission/refusals.py
+++ b/medlardoor/admission/refusals.py
@@ -76,21 +76,20 @@
         self._generator = generator
         self._clear_s = _MIN_HINT_S
 
-    def update(self, queued: int, capacity: float, offered: float) -> None:
+    def update(self, queued: int, capacity: float) -> None:
         """Adapts the hint to the load.
 
         Args:
             queued: Calls that wait.
             capacity: Calls that can start in a second.
-            offered: Calls that arrive in a second.
         """
         if capacity <= 0:
             self._clear_s = _MAX_HINT_S
             return
-        # What arrives above the capacity in one second is what callers would
-        # add to the queue if all of them came back within it.
-        excess = max(0.0, offered - capacity)
-        clear_s = (queued + excess) / capacity
+        # Callers that come back after the queue has cleared find room if the
+        # load has fallen. Longer hints would only build up a backlog of
+        # resends that keeps the service full after the overload has ended.
+        clear_s = queued / capacity
         self._clear_s = min(_MAX_HINT_S, max(_MIN_HINT_S, clear_s))
 
     def retry_after_ms(self, reason: errors.Reason) -> int:
