Judge the limit by whole windows and frozen baselines

Cause: with 1,000 reported slots on 40 the limit stayed at 1,000: concurrency counted as proven before its latency was seen, the baseline followed the queue, and short windows held only the fast requests. Change: proven concurrency comes from finished requests, divided by their latency ratio; time stops for the baseline under congestion; windows last two mean latencies.

--- a/medlardoor/admission/baselines.py
+++ b/medlardoor/admission/baselines.py
@@ -11,7 +11,7 @@
 
 # Completions that one mean is taken over. The lowest of many means of few
 # values would be far below the typical latency.
-_MEAN_OF = 50
+_MEAN_OF = 100
 
 
 class _KindBaseline:
@@ -66,19 +66,29 @@
     def __init__(self, settings: settings_module.AdmissionSettings):
         self._bucket_s = settings.baseline_window_s / _BUCKETS
         self._kinds: dict[str, _KindBaseline] = {}
+        self._bucket = 0
 
-    def record(self, kind: str, latency_s: float, now: float) -> None:
+    def record(
+        self, kind: str, latency_s: float, now: float, congested: bool
+    ) -> None:
         """Adds the latency of one request.
 
+        Time passes for the window only while the upstream is not congested:
+        in a long overload, the latency with queueing would otherwise become
+        the baseline, and the limit would drift up.
+
         Args:
             kind: Kind of the request.
             latency_s: Its latency, in seconds.
             now: Current time, in seconds.
+            congested: Whether the limit is in use or the latency is raised.
         """
+        if not congested:
+            self._bucket = max(self._bucket, int(now / self._bucket_s))
         baseline = self._kinds.get(kind)
         if baseline is None:
             baseline = self._kinds[kind] = _KindBaseline()
-        baseline.record(latency_s, int(now / self._bucket_s))
+        baseline.record(latency_s, self._bucket)
 
     def ratio(self, samples: abc.Iterable[tuple[str, float]]) -> float:
         """Mean latency as a multiple of the baselines.
--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -299,7 +299,7 @@
             len(self._queue),
             capacity_rate * wait_s,
         )
-        self._hints.update(len(self._queue), capacity_rate)
+        self._hints.update(len(self._queue), capacity_rate, self._max_wait_s)
 
     def _capacity_rate(self, now: float) -> float | None:
         """Calls that can start in a second; None if it is not known yet."""
--- a/medlardoor/admission/limits.py
+++ b/medlardoor/admission/limits.py
@@ -19,6 +19,9 @@
 # that vary as much as their mean is off by more than a quarter.
 _MIN_SAMPLES = 20
 
+# Length of a window at least, as a multiple of the mean latency.
+_MIN_LATENCIES = 2.0
+
 # The limit grows while the mean latency is below this multiple of the
 # baseline. Above it the upstream queues by itself, and more concurrency adds
 # latency but no throughput.
@@ -102,6 +105,7 @@
         self._baselines = baselines.LatencyBaselines(settings)
         self._slowdown = 1.0
         self._restore: float | None = None
+        self._congested = False
         self._proven = proven.ProvenConcurrency(settings)
         self._restarted_at = -math.inf
         self._proven_at = -math.inf
@@ -138,7 +142,9 @@
             # The request was dispatched on distrust and came back: it is the
             # successful probe that section 2.6 asks for.
             self._proven_at = now
-        self._baselines.record(kind, latency_s, now)
+        self._baselines.record(kind, latency_s, now, self._congested)
+        self._held_s += latency_s
+        self._ended += 1
         if began_at >= self._window_at:
             self._samples.append((kind, latency_s))
 
@@ -150,7 +156,7 @@
             self._shrink()
             self._open_window(now)
             return
-        if len(self._samples) < _MIN_SAMPLES:
+        if not self._is_complete(now):
             return
         ratio = self._baselines.ratio(self._samples) / self._slowdown
         if self.warmth_percent(now) == 100:
@@ -178,18 +184,44 @@
             # The upstream is faster again than what was taken as normal.
             self._slowdown = max(1.0, self._slowdown * ratio)
         in_use = self._peak >= self.limit(now) * _IN_USE_SHARE
+        self._congested = in_use or ratio >= _GROWTH_RATIO
         if ratio < _GROWTH_RATIO:
-            self._proven.record(self._peak, now)
+            worked = self._completed_concurrency(now) / max(1.0, ratio)
+            self._proven.record(worked, now)
             self._restore = None
             if in_use:
                 self._grow()
             return
+        is_high = ratio > self._settings.latency_factor
         bound = self._proven.highest * _HEADROOM
-        if self._peak > bound:
+        # Below the limit, with few requests at a time, a ratio of 1.3 is
+        # within the noise of service times.
+        if self._peak > bound and (in_use or is_high):
             self._lower(ratio, bound)
-        elif ratio > self._settings.latency_factor:
+        elif is_high:
             self._accept_slowness(ratio)
 
+    def _is_complete(self, now: float) -> bool:
+        """Whether the window is long enough to be judged.
+
+        Only requests that both begin and end in the window are compared. In
+        a window as short as one latency these are the fast ones, and
+        queueing would not be seen.
+        """
+        if len(self._samples) < _MIN_SAMPLES:
+            return False
+        mean_s = self._held_s / self._ended
+        return now - self._window_at >= _MIN_LATENCIES * mean_s
+
+    def _completed_concurrency(self, now: float) -> float:
+        """Mean concurrency of the requests that ended in the window.
+
+        The present concurrency proves nothing: while the load rises, the
+        requests that wait in the upstream have not shown their latency yet.
+        """
+        elapsed_s = now - self._window_at
+        return min(float(self._peak), self._held_s / elapsed_s)
+
     def _grow(self) -> None:
         grown = self._adaptive + max(1.0, math.sqrt(self._adaptive))
         # Beyond the reported slots nothing can be learned about the upstream.
@@ -225,6 +257,8 @@
         self._window_at = now
         self._samples: collections.deque = collections.deque(maxlen=2_000)
         self._peak = 0
+        self._held_s = 0.0
+        self._ended = 0
         self._shed = False
 
     def _policy(self) -> policy_module.ServicePolicy:
--- a/medlardoor/admission/refusals.py
+++ b/medlardoor/admission/refusals.py
@@ -76,12 +76,13 @@
         self._generator = generator
         self._clear_s = _MIN_HINT_S
 
-    def update(self, queued: int, capacity: float) -> None:
+    def update(self, queued: int, capacity: float, longest_s: float) -> None:
         """Adapts the hint to the load.
 
         Args:
             queued: Calls that wait.
             capacity: Calls that can start in a second.
+            longest_s: Time after which a waiting call is dropped, in seconds.
         """
         if capacity <= 0:
             self._clear_s = _MAX_HINT_S
@@ -89,7 +90,7 @@
         # Callers that come back after the queue has cleared find room if the
         # load has fallen. Longer hints would only build up a backlog of
         # resends that keeps the service full after the overload has ended.
-        clear_s = queued / capacity
+        clear_s = min(queued / capacity, longest_s)
         self._clear_s = min(_MAX_HINT_S, max(_MIN_HINT_S, clear_s))
 
     def retry_after_ms(self, reason: errors.Reason) -> int:
