--- a/medlardoor/bench/cases.py
+++ b/medlardoor/bench/cases.py
@@ -12,7 +12,14 @@
 
 from medlardoor.bench import controlled, fakes
 
-__all__ = ["CASES", "DERWENT", "KAVANGO", "Case", "possible_goodput"]
+__all__ = [
+    "CASES",
+    "DERWENT",
+    "KAVANGO",
+    "Case",
+    "possible_goodput",
+    "top_kind_fits",
+]
 
 _SEED = 20_260_817
 _BEGIN_S = 10.0
@@ -122,6 +129,21 @@
     return total
 
 
+def top_kind_fits(case: Case) -> bool:
+    """Whether the most important kind fits in the capacity all the time."""
+    top = case.company.kinds[0]
+    steps = round(case.overload_s / _STEP_S)
+    for step in range(steps):
+        at = case.begin_s + step * _STEP_S
+        demand = case.rate(at) * top.share
+        room = fakes.World.INSTANCES * case.available(at)
+        for service, seconds in _held(case, top, at).items():
+            slots = case.company.services[service].slots * room
+            if demand * seconds > slots:
+                return False
+    return True
+
+
 def _possible_rate(case: Case, at: float) -> float:
     share = case.available(at)
     room = {
