--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -12,6 +12,7 @@
     service_times,
 )
 from medlardoor.blackboard import board as board_module
+from medlardoor.blackboard import topics
 from medlardoor.config import policy as policy_module
 from medlardoor.config import settings as settings_module
 from medlardoor.node import context
@@ -87,12 +88,17 @@
     Attributes:
         latency_s: Time from start to end, in seconds.
         outcome: What is known about the run.
-        shed: Whether the upstream refused the request because of its load.
+        shed: Whether the upstream refused the request, or the connection,
+            because of its own load; not if a call below was refused.
+        called_s: Part of the latency in which the upstream waited for its
+            outgoing calls, in seconds. Without it, a slow service below
+            looks like overload of this upstream.
     """
 
     latency_s: float
     outcome: errors.Outcome
     shed: bool = False
+    called_s: float = 0.0
 
 
 class AdmissionController:
@@ -146,13 +152,13 @@
         if now + self._times.expected(call.kind, now) > call.deadline:
             return self._refuse(call, errors.Reason.DEADLINE_EXCEEDED)
         room = len(self._running) < self._limit.limit(now)
-        if room and not self._queue and call.level >= self._floor.level(now):
+        if room and not self._queue and call.level >= self._floor.level:
             self._run(call, now)
-            self._publish(now)
+            self._publish_counts()
             return Admitted()
         lowest = self._queue.lowest_rank
         outranks = lowest is not None and lowest < call.rank
-        if call.level < self._effective_level(now) and not outranks:
+        if call.level < self._effective_level and not outranks:
             return self._refuse(call, errors.Reason.OVERLOAD)
         return self._enqueue(call, now)
 
@@ -204,6 +210,8 @@
         if elapsed_s >= self._settings.interval_s * 0.9:
             self._adapted_at = now
             self._adapt(elapsed_s, now)
+        self._floor.update(now)
+        self._publish(now)
         expected = self._times.expected
         for entry in self._queue.expire(now, lambda kind: expected(kind, now)):
             self._drop_late(entry, now)
@@ -234,8 +242,9 @@
             return policy_module.ServicePolicy()
         return policy.service(self._board.service)
 
-    def _effective_level(self, now: float) -> int:
-        return max(self._level.value, self._floor.level(now))
+    @property
+    def _effective_level(self) -> int:
+        return max(self._level.value, self._floor.level)
 
     def _enqueue(self, call, now) -> Queued | Refused:
         self._queue.push(call, now)
@@ -244,7 +253,7 @@
             if evicted.call.call_id == call.call_id:
                 return self._refuse(call, errors.Reason.OVERLOAD)
             self._drop(evicted.call, errors.Reason.OVERLOAD)
-        self._publish(now)
+        self._publish_counts()
         return Queued()
 
     def _run(self, call, now) -> None:
@@ -256,9 +265,8 @@
         self._completions += 1
         if ok and not completion.shed:
             self._times.record(call.kind, completion.latency_s, now)
-        self._limit.finished(
-            call.kind, completion.latency_s, ok, completion.shed, now
-        )
+        own_s = max(0.0, completion.latency_s - completion.called_s)
+        self._limit.finished(call.kind, own_s, ok, completion.shed, now)
 
     def _fill(self, now) -> list[Start | Drop]:
         actions: list[Start | Drop] = []
@@ -273,7 +281,7 @@
             actions.append(Start(entry.call.call_id))
         actions += self._drops
         self._drops = []
-        self._publish(now)
+        self._publish_counts()
         return actions
 
     def _adapt(self, elapsed_s: float, now: float) -> None:
@@ -291,11 +299,7 @@
             len(self._queue),
             capacity_rate * wait_s,
         )
-        self._hints.update(
-            len(self._queue),
-            capacity_rate,
-            self._level.offered / self._settings.interval_s,
-        )
+        self._hints.update(len(self._queue), capacity_rate, self._max_wait_s)
 
     def _capacity_rate(self, now: float) -> float | None:
         """Calls that can start in a second; None if it is not known yet."""
@@ -309,6 +313,21 @@
     def _refuse(self, call, reason) -> Refused:
         return Refused(self.refusal(call, reason))
 
+    @property
+    def path_level(self) -> int:
+        """Level to report to callers of this service.
+
+        A call that is refused here is forwarded to a peer with a lower level,
+        and members above the level of a call are not selected. So callers
+        are told the lowest level of the service and not the one of this
+        node, but never less than the floor from refusals.
+        """
+        lowest = self._level.value
+        for member in self._board.membership.members.values():
+            if member.state is topics.MemberState.SERVING:
+                lowest = min(lowest, member.level)
+        return max(lowest, self._floor.level)
+
     def refusal(
         self,
         call: context.CallContext,
@@ -340,9 +359,13 @@
     def _publish(self, now: float) -> None:
         topic = self._board.limits
         topic.limit = self._limit.limit(now)
-        topic.in_flight = len(self._running)
-        topic.queued = len(self._queue)
         topic.level = self._level.value
-        topic.effective_level = self._effective_level(now)
+        topic.effective_level = self._effective_level
         topic.refused_rank = self._floor.own_rank(now)
         topic.warmth_percent = self._limit.warmth_percent(now)
+        self._publish_counts()
+
+    def _publish_counts(self) -> None:
+        topic = self._board.limits
+        topic.in_flight = len(self._running)
+        topic.queued = len(self._queue)
--- a/medlardoor/admission/refusals.py
+++ b/medlardoor/admission/refusals.py
@@ -28,6 +28,12 @@
     def __init__(self, board: board_module.Blackboard):
         self._board = board
         self._refused_at: dict[int, float] = {}
+        self._level = 0
+
+    @property
+    def level(self) -> int:
+        """Lowest level that may be admitted; computed by `update`."""
+        return self._level
 
     def refuse(self, rank: int, now: float) -> None:
         """Notes that a call was refused after forwarding it failed.
@@ -37,6 +43,7 @@
             now: Current time, in seconds.
         """
         self._refused_at[rank] = now
+        self.update(now)
 
     def own_rank(self, now: float) -> int:
         """Highest rank refused here in the last second; -1 if none."""
@@ -45,8 +52,8 @@
         ]
         return max(recent, default=-1)
 
-    def level(self, now: float) -> int:
-        """Lowest level that may be admitted because of refusals.
+    def update(self, now: float) -> None:
+        """Computes the floor from the records of peers and own refusals.
 
         Args:
             now: Current time, in seconds.
@@ -55,7 +62,7 @@
         for member in self._board.membership.members.values():
             if now - member.heard_at <= _RECORD_MAX_AGE_S:
                 rank = max(rank, member.refused_rank)
-        return max(0, rank * levels.LEVELS_PER_RANK)
+        self._level = max(0, rank * levels.LEVELS_PER_RANK)
 
 
 class RetryHints:
@@ -69,21 +76,21 @@
         self._generator = generator
         self._clear_s = _MIN_HINT_S
 
-    def update(self, queued: int, capacity: float, offered: float) -> None:
+    def update(self, queued: int, capacity: float, longest_s: float) -> None:
         """Adapts the hint to the load.
 
         Args:
             queued: Calls that wait.
             capacity: Calls that can start in a second.
-            offered: Calls that arrive in a second.
+            longest_s: Time after which a waiting call is dropped, in seconds.
         """
         if capacity <= 0:
             self._clear_s = _MAX_HINT_S
             return
-        # What arrives above the capacity in one second is what callers would
-        # add to the queue if all of them came back within it.
-        excess = max(0.0, offered - capacity)
-        clear_s = (queued + excess) / capacity
+        # Callers that come back after the queue has cleared find room if the
+        # load has fallen. Longer hints would only build up a backlog of
+        # resends that keeps the service full after the overload has ended.
+        clear_s = min(queued / capacity, longest_s)
         self._clear_s = min(_MAX_HINT_S, max(_MIN_HINT_S, clear_s))
 
     def retry_after_ms(self, reason: errors.Reason) -> int:
