--- a/medlardoor/adoption/controller.py
+++ b/medlardoor/adoption/controller.py
@@ -127,6 +127,7 @@
         gossip_controller: gossip.GossipController,
         parser: ObjectParser,
     ):
+        self._settings = settings
         self._board = board
         self._topic = board.policy
         self._random = random
@@ -247,9 +248,7 @@
         """
         if version <= self.newest_judged_version:
             return None
-        if self._seen_version <= self.newest_judged_version:
-            self._seen_at = now
-        self._seen_version = max(self._seen_version, version)
+        self._note_version(version, now)
         return self._next_fetch(member, now)
 
     def tick(self, now: float) -> Fetch | None:
@@ -262,22 +261,27 @@
             The fetch to make, if any.
         """
         for member in self._known_members():
-            if member.document_version > self._seen_version:
-                self.see_version_only(member.document_version, now)
+            self._note_version(member.document_version, now)
         self._evaluate_isolation(now)
         if self._seen_version <= self.newest_judged_version:
             return None
         return self._next_fetch(None, now)
 
-    def see_version_only(self, version: int, now: float) -> None:
-        """Notes a version without starting a fetch."""
-        if self._seen_version <= self.newest_judged_version < version:
-            self._seen_at = now
-        self._seen_version = max(self._seen_version, version)
-
     def confirm(self, now: float) -> None:
-        """Notes that the platform has no newer version than the known one."""
-        self._topic.confirmed_at = now
+        """Notes that the platform has no version above the judged ones.
+
+        The version in force counts as confirmed unless a newer one exists
+        that was rejected here.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        self.note_platform_contact(now)
+        if self._rejected_version < self._topic.version:
+            self._topic.confirmed_at = now
+
+    def note_platform_contact(self, now: float) -> None:
+        """Notes that the platform answered, whatever it answered."""
         self._rule.note_platform_contact(now)
 
     def is_overdue(self, now: float) -> bool:
@@ -295,12 +299,7 @@
             if attempt.is_open and now - attempt.at < _FETCH_TIMEOUT_S:
                 return None
             last = attempt.instance
-        sources = [
-            member
-            for member in self._known_members()
-            if member.document_version > self.newest_judged_version
-            and member.state is not topics.MemberState.LEFT
-        ]
+        sources = self._sources(now)
         if preferred is not None:
             sources.insert(0, preferred)
         others = [member for member in sources if member.instance != last]
@@ -317,6 +316,26 @@
         self._attempt = _Attempt(chosen.instance, now)
         return Fetch(chosen, self._seen_version)
 
+    def _sources(self, now: float) -> list[topics.Member]:
+        """Members that have a newer document, live ones if there are any."""
+        having = [
+            member
+            for member in self._known_members()
+            if member.document_version > self.newest_judged_version
+            and member.state is not topics.MemberState.LEFT
+        ]
+        heard = [
+            member
+            for member in having
+            if now - member.heard_at <= self._settings.suspect_after_s
+        ]
+        return heard or having
+
+    def _note_version(self, version: int, now: float) -> None:
+        if self._seen_version <= self.newest_judged_version < version:
+            self._seen_at = now
+        self._seen_version = max(self._seen_version, version)
+
     def _known_members(self) -> list[topics.Member]:
         membership = self._board.membership
         found = list(membership.members.values())
--- /dev/null
+++ b/medlardoor/adoption/tests/test_controller.py
@@ -0,0 +1,191 @@
+"""Tests of document adoption and of the isolation rule."""
+
+import hashlib
+import random
+
+import hypothesis
+from hypothesis import strategies
+import result
+
+from medlardoor import errors
+from medlardoor.adoption import controller
+from medlardoor.blackboard import board, topics
+from medlardoor.config import policy, settings
+from medlardoor.membership import gossip
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+PHASE = controller.AdoptionPhase
+
+
+class Parser(controller.ObjectParser):
+    """Takes everything but values that start with ``wrong``."""
+
+    def parse(self, value):
+        if value.startswith(b"wrong"):
+            fault = errors.Fault("$", 1, "a document")
+            return result.Err(errors.InvalidInput("document", (fault,)))
+        parsed = policy.Policy(value.decode(), (), {}, {})
+        return result.Ok(controller.ParsedObject(parsed))
+
+
+class Node:
+    """An adoption controller with its blackboard."""
+
+    def __init__(self, instance="order-5"):
+        own = topics.Member(instance, "order", 1, "p", gossip_port=1, host="h")
+        self.board = board.Blackboard(instance, "order", "a")
+        limits = settings.GossipSettings()
+        self.gossip = gossip.GossipController(
+            limits, self.board, random.Random(1), own
+        )
+        self.adoption = controller.AdoptionController(
+            limits, self.board, random.Random(1), self.gossip, Parser()
+        )
+
+    def hear(self, instance, version, now):
+        """Receives the record of another member."""
+        known = self.board.membership.members.get(instance)
+        beat = known.heartbeat + 1 if known else 1
+        record = ttypes.MemberRecord(
+            instance=instance,
+            incarnation=1,
+            heartbeat=beat,
+            state=ttypes.MemberState.SERVING,
+            host="127.0.0.1",
+            peer_port=1,
+            gossip_port=2,
+            process_id=instance,
+            document_version=version,
+        )
+        digest = ttypes.Digest("order", instance, 1, beat, [record], False)
+        self.gossip.receive(digest, now)
+        return self.board.membership.members[instance]
+
+
+def _transfer(version, value):
+    return ttypes.DocumentTransfer(
+        version, hashlib.sha256(value).digest(), value
+    )
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(1, 9), strategies.booleans())
+    )
+)
+def test_version_never_reverts(offers):
+    """A late or doubled document brings an older version back into force."""
+    node = Node()
+    best = 0
+    for version, valid in offers:
+        value = b"%d" % version if valid else b"wrong"
+        answer = node.adoption.offer(version, value, 0.0)
+        adopted = valid and version > best
+        assert isinstance(answer, controller.Adopted) == adopted
+        best = version if adopted else best
+        assert node.board.policy.version == best
+        if best:
+            assert node.board.policy.policy.environment == str(best)
+
+
+def test_wrong_object_leaves_the_one_in_force():
+    """A wrong object is adopted, or is fetched again and again."""
+    node = Node()
+    node.adoption.offer(1, b"good", 0.0)
+    answer = node.adoption.offer(2, b"wrong", 1.0)
+    assert isinstance(answer, controller.Rejected)
+    assert answer.failure.faults
+    assert node.board.policy.value == b"good"
+    member = node.hear("order-1", 2, 1.0)
+    assert node.adoption.see_version(2, member, 1.0) is None
+    node.adoption.confirm(2.0)
+    assert node.board.policy.confirmed_at is None
+    assert isinstance(
+        node.adoption.offer(3, b"better", 3.0), controller.Adopted
+    )
+
+
+def test_damaged_transfer_is_fetched_from_another_peer():
+    """A transfer cut short is adopted, or bars the intact version."""
+    node = Node()
+    first = node.hear("order-1", 7, 0.0)
+    node.hear("order-2", 7, 0.0)
+    fetch = node.adoption.see_version(7, first, 0.0)
+    assert fetch.member is first
+    damaged = _transfer(7, b"value")
+    damaged.value = b"val"
+    answer = node.adoption.offer_transfer(damaged, 0.1)
+    assert isinstance(answer, controller.Rejected)
+    again = node.adoption.tick(0.1)
+    assert again.member.instance == "order-2"
+    answer = node.adoption.offer_transfer(_transfer(7, b"value"), 0.2)
+    assert isinstance(answer, controller.Adopted)
+    assert node.adoption.tick(5.0) is None
+
+
+def test_one_fetch_at_a_time_and_another_peer_after_a_second():
+    """Each call that mentions a new version starts a fetch of its own."""
+    node = Node()
+    first = node.hear("order-1", 7, 0.0)
+    second = node.hear("order-2", 7, 0.0)
+    assert node.adoption.see_version(7, first, 0.0) is not None
+    assert node.adoption.see_version(7, second, 0.5) is None
+    assert node.adoption.tick(0.9) is None
+    later = node.adoption.tick(1.1)
+    assert later.member is second
+    assert not node.adoption.is_overdue(2.0)
+    assert node.adoption.is_overdue(4.0)
+
+
+def test_two_lowest_live_members_watch():
+    """Nobody watches after the watchers died, or all nodes do."""
+    node = Node("order-3")
+    node.gossip.tick(0.0)
+    assert node.adoption.is_watcher(0.0)
+    for instance in ("order-1", "order-2", "order-4"):
+        node.hear(instance, 1, 0.0)
+    assert not node.adoption.is_watcher(0.0)
+    for second in range(1, 9):
+        node.gossip.tick(float(second))
+        node.hear("order-2", 1, float(second))
+    assert node.adoption.is_watcher(8.0)
+
+
+def test_node_without_document_refuses():
+    """A node serves without limits before it has a document."""
+    node = Node()
+    assert node.adoption.refusal().reason is errors.Reason.NO_CONFIGURATION
+    assert node.adoption.refusal().outcome is errors.Outcome.NOT_RUN
+    node.adoption.offer(1, b"good", 0.0)
+    assert node.adoption.refusal() is None
+
+
+def test_isolated_node_catches_up_before_it_serves():
+    """A node that was cut off serves once more under an old document."""
+    node = Node()
+    node.adoption.offer(1, b"old", 0.0)
+    node.hear("order-1", 1, 0.0)
+    node.adoption.tick(9.0)
+    assert node.adoption.phase is PHASE.IN_FORCE
+    node.adoption.tick(11.0)
+    assert node.adoption.refusal().reason is errors.Reason.ISOLATED
+    node.hear("order-1", 2, 30.0)
+    assert node.adoption.tick(30.0) is not None
+    assert node.adoption.phase is PHASE.ISOLATED
+    node.adoption.offer_transfer(_transfer(2, b"new"), 30.1)
+    node.adoption.tick(30.2)
+    assert node.adoption.phase is PHASE.IN_FORCE
+
+
+def test_lone_node_and_node_with_platform_are_not_isolated():
+    """A service of one node stops when the platform is away."""
+    lone, connected = Node(), Node()
+    for node in (lone, connected):
+        node.adoption.offer(1, b"good", 0.0)
+    connected.hear("order-1", 1, 0.0)
+    for second in range(0, 60, 5):
+        connected.adoption.confirm(float(second))
+    for node in (lone, connected):
+        node.adoption.tick(60.0)
+        assert node.adoption.phase is PHASE.IN_FORCE
--- /dev/null
+++ b/medlardoor/adoption/tests/test_watching.py
@@ -0,0 +1,131 @@
+"""Tests of the task that gets documents from the platform."""
+
+import random
+
+import anyio
+import pytest
+import trio.testing
+
+from medlardoor.adoption import watching
+from medlardoor.adoption.tests import test_controller
+from medlardoor.config import settings
+from medlardoor.store import memory
+
+pytestmark = pytest.mark.anyio
+KEY = "documents/trial"
+
+
+@pytest.fixture
+def anyio_backend():
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return "trio", {"clock": clock}
+
+
+def _watcher(node, store, seed=1):
+    return watching.DocumentWatcher(
+        node.adoption,
+        store,
+        settings.StoreSettings(),
+        "trial",
+        random.Random(seed),
+    )
+
+
+async def _run(watcher, seconds, then=None):
+    with anyio.move_on_after(seconds):
+        async with anyio.create_task_group() as group:
+            group.start_soon(watcher.run)
+            if then is not None:
+                await then()
+            await anyio.sleep(seconds)
+
+
+async def test_watcher_gets_each_version_and_makes_few_calls():
+    """A watcher misses a version, or polls the platform."""
+    node, store = test_controller.Node(), memory.MemoryObjectStore()
+    seen = []
+
+    async def promote():
+        version = 0
+        for number in range(5):
+            await anyio.sleep(60.0)
+            value = b"%d" % number
+            version = store.table.update(KEY, value, version).unwrap()
+            await anyio.sleep(0.1)
+            seen.append(node.board.policy.value)
+
+    await _run(_watcher(node, store), 600.0, promote)
+    assert seen == [b"0", b"1", b"2", b"3", b"4"]
+    assert node.board.policy.confirmed_at is not None
+    assert store.calls.total <= 600 / 30 + 5 + 10
+
+
+async def test_watcher_backs_off_and_returns_after_an_outage():
+    """A watcher floods the platform in an outage, or stays away after it."""
+    node, store = test_controller.Node(), memory.MemoryObjectStore()
+    store.table.update(KEY, b"1", 0)
+
+    async def outage():
+        await anyio.sleep(10.0)
+        store.inject(memory.FaultMode.DOWN)
+        await anyio.sleep(600.0)
+        store.table.update(KEY, b"2", 1)
+        store.inject(memory.FaultMode.UP)
+        await anyio.sleep(5.5)
+        assert node.board.policy.value == b"2"
+
+    await _run(_watcher(node, store), 620.0, outage)
+    assert store.calls.total < 600 / 2.5
+
+
+async def test_wrong_object_does_not_cause_a_tight_loop():
+    """A watcher fetches the same wrong object again and again."""
+    node, store = test_controller.Node(), memory.MemoryObjectStore()
+    store.table.update(KEY, b"good", 0)
+    store.table.update(KEY, b"wrong", 1)
+    watcher = _watcher(node, store)
+    await _run(watcher, 60.0)
+    assert watcher.rejection is not None
+    assert store.calls.total <= 5
+
+
+async def test_other_nodes_read_once_and_then_seldom():
+    """Each of 9,400 nodes polls the platform."""
+    node, store = test_controller.Node("order-9"), memory.MemoryObjectStore()
+    store.table.update(KEY, b"1", 0)
+    node.gossip.tick(0.0)
+    for instance in ("order-1", "order-2"):
+        node.hear(instance, 1, 0.0)
+
+    async def gossip():
+        while True:
+            await anyio.sleep(1.0)
+            now = anyio.current_time()
+            node.gossip.tick(now)
+            for instance in ("order-1", "order-2"):
+                node.hear(instance, 1, now)
+
+    await _run(_watcher(node, store), 3_000.0, gossip)
+    assert node.board.policy.version == 1
+    assert 8 <= store.calls.reads <= 14
+    assert store.calls.watches == 0
+
+
+async def test_node_reads_the_platform_when_peers_do_not_deliver():
+    """A version that peers only mention stays unknown for minutes."""
+    node, store = test_controller.Node("order-9"), memory.MemoryObjectStore()
+    store.table.update(KEY, b"1", 0)
+
+    async def mention():
+        while True:
+            now = anyio.current_time()
+            node.gossip.tick(now)
+            for instance in ("order-1", "order-2"):
+                node.hear(instance, store.table.version, now)
+            node.adoption.tick(now)
+            if now > 20.0 and store.table.version == 1:
+                store.table.update(KEY, b"2", 1)
+            await anyio.sleep(1.0)
+
+    await _run(_watcher(node, store), 30.0, mention)
+    assert node.board.policy.version == 2
--- a/medlardoor/adoption/watching.py
+++ b/medlardoor/adoption/watching.py
@@ -51,7 +51,8 @@
         self._key = f"documents/{environment}"
         self._random = random
         self._backoff_s = 0.0
-        self._next_read_at = float("-inf")
+        self._is_read = False
+        self._next_read_at: float | None = None
         self._rejection: errors.InvalidInput | None = None
 
     @property
@@ -67,18 +68,32 @@
     async def step(self) -> None:
         """Makes one call, or waits until one may be due."""
         now = anyio.current_time()
-        if self._next_read_at == float("-inf"):
-            await self._read()
-        elif self._controller.is_watcher(now):
+        phase = self._controller.phase
+        if phase is controller_module.AdoptionPhase.NO_DOCUMENT:
+            if not self._is_read:
+                await self._read()
+                return
+        elif self._next_read_at is None:
+            # The document came from a peer; the platform is read later, not
+            # by all nodes at once when it comes back.
+            wait_s = self._random.uniform(0, _SAFETY_READ_S)
+            self._next_read_at = now + wait_s
+        if self._controller.is_watcher(now):
             await self._watch()
-        elif now >= self._next_read_at or self._controller.is_overdue(now):
+        elif self._is_read_due(now):
             await self._read()
         else:
             await anyio.sleep(_ROLE_INTERVAL_S)
 
+    def _is_read_due(self, now: float) -> bool:
+        if self._controller.is_overdue(now):
+            return True
+        return self._next_read_at is not None and now >= self._next_read_at
+
     async def _read(self) -> None:
         answer = await self._store.read(self._key)
         if answer.is_ok():
+            self._is_read = True
             low, high = 1 - _SAFETY_JITTER, 1 + _SAFETY_JITTER
             wait_s = _SAFETY_READ_S * self._random.uniform(low, high)
             self._next_read_at = anyio.current_time() + wait_s
@@ -95,6 +110,7 @@
         )
         await self._take(answer)
         if answer.is_ok() and answer.ok_value is None:
+            self._controller.confirm(anyio.current_time())
             # A platform that answers early must not be called in a tight loop.
             early_s = began + _ROLE_INTERVAL_S - anyio.current_time()
             await anyio.sleep(max(0.0, early_s))
@@ -110,14 +126,17 @@
             return
         self._backoff_s = 0.0
         now = anyio.current_time()
+        self._controller.note_platform_contact(now)
         found = answer.ok_value
-        if found is not None:
-            offered = self._controller.offer(found.version, found.value, now)
-            if isinstance(offered, controller_module.Rejected):
-                self._rejection = offered.failure
-            elif isinstance(offered, controller_module.Adopted):
-                self._rejection = None
-        self._controller.confirm(now)
+        if found is None:
+            return
+        offered = self._controller.offer(found.version, found.value, now)
+        if isinstance(offered, controller_module.Rejected):
+            self._rejection = offered.failure
+        elif isinstance(offered, controller_module.Adopted):
+            self._rejection = None
+        if found.version == self._controller.newest_judged_version:
+            self._controller.confirm(now)
 
     async def _back_off(self) -> None:
         longer_s = max(_MIN_BACKOFF_S, self._backoff_s * 2)
--- /dev/null
+++ b/medlardoor/membership/tests/test_directory.py
@@ -0,0 +1,187 @@
+"""Tests of the directory object."""
+
+import random
+
+import anyio
+import pytest
+import trio.testing
+
+from medlardoor.blackboard import topics
+from medlardoor.config import settings
+from medlardoor.membership import directory
+from medlardoor.membership.tests import network
+from medlardoor.store import memory
+
+STATE = topics.MemberState
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return "trio", {"clock": clock}
+
+
+class _Service:
+    """A group with one directory task for each node, on one table."""
+
+    def __init__(self, size):
+        nodes = [network.node(number) for number in range(1, size + 1)]
+        self.net = network.Network(nodes, now=anyio.current_time())
+        self.net.join()
+        self.net.run(0)
+        self.table = memory.ObjectTable()
+        self.stores = {}
+        self.controllers = {}
+        self.tasks = {}
+        for controller in nodes:
+            self.add(controller)
+
+    def add(self, controller):
+        port = controller.own.gossip_port
+        self.net.nodes[port] = controller
+        self.stores[port] = memory.MemoryObjectStore(self.table)
+        self.controllers[port] = directory.DirectoryController(
+            settings.GossipSettings(), controller
+        )
+        self.tasks[port] = directory.DirectoryTask(
+            self.controllers[port],
+            self.stores[port],
+            random.Random(port),
+        )
+
+    async def run(self, seconds):
+        """Lets gossip and all tasks work in steps of one second."""
+        for _ in range(seconds):
+            await anyio.sleep(1.0)
+            self.net.run(1)
+            for port in list(self.net.nodes):
+                await self.tasks[port].step()
+
+    def listed(self):
+        found = self.table.read("directory/order")
+        entries = directory.parse_directory(found).unwrap().entries
+        return [entry.instance for entry in entries]
+
+    def updates(self):
+        return sum(store.calls.updates for store in self.stores.values())
+
+    def reads(self):
+        return sum(store.calls.reads for store in self.stores.values())
+
+
+async def test_one_member_writes_and_only_on_change():
+    """All members write, or the platform gets writes without a change."""
+    service = _Service(5)
+    await service.run(60)
+    assert len(service.listed()) == 5
+    assert service.updates() == service.stores[1].calls.updates
+    before = service.updates()
+    await service.run(200)
+    assert service.updates() == before
+    assert service.reads() <= 10
+
+
+async def test_dead_writer_is_replaced_and_removed():
+    """The directory is never written again after its writer died."""
+    service = _Service(4)
+    await service.run(20)
+    del service.net.nodes[1]
+    await service.run(25)
+    assert service.listed() == ["order-002", "order-003", "order-004"]
+    assert service.stores[2].calls.updates >= 1
+    assert service.stores[4].calls.updates == 0
+
+
+async def test_lost_answer_is_read_back_before_a_repetition():
+    """A lost answer leads to a second write or to a writer that gives up."""
+    service = _Service(3)
+    service.stores[1].inject(memory.FaultMode.LOSE_ANSWERS)
+    await service.run(30)
+    assert len(service.listed()) == 3
+    version = service.table.version
+    updates = service.updates()
+    await service.run(30)
+    assert (service.table.version, service.updates()) == (version, updates)
+
+
+async def test_racing_writers_do_not_undo_each_other():
+    """Two writers at once: the later one overwrites with an older view."""
+    service = _Service(3)
+    await service.run(10)
+    before = service.table.version
+    service.add(network.node(4))
+    joined = service.net.nodes[4]
+    seeds = [network.address(service.net.nodes[1])]
+    service.net.deliver(joined, joined.join(seeds, service.net.now))
+    service.net.publish(joined, STATE.SERVING)
+    first, second = service.controllers[1], service.controllers[2]
+    assert second.next_write(anyio.current_time()) is None
+    await anyio.sleep(5)
+    service.net.run(5)
+    # Both decide before either of them has written.
+    await service.tasks[2].read()
+    writes = [c.next_write(anyio.current_time()) for c in (first, second)]
+    assert writes[0].expected_version == writes[1].expected_version == before
+    answers = [
+        await service.stores[port].update(
+            first.key, write.value, write.expected_version
+        )
+        for port, write in zip((2, 1), writes[::-1], strict=True)
+    ]
+    assert [answer.is_ok() for answer in answers] == [True, False]
+    await service.run(30)
+    assert service.listed()[-1] == "order-004"
+    assert service.table.version == before + 1
+
+
+async def test_restart_and_broken_object_are_corrected():
+    """An unreadable object or an old incarnation stays in the directory."""
+    service = _Service(2)
+    await service.run(10)
+    found = service.table.read("directory/order")
+    service.table.update("directory/order", b"[broken", found.version)
+    again = network.node(2, incarnation=9)
+    service.add(again)
+    seeds = [network.address(service.net.nodes[1])]
+    service.net.deliver(again, again.join(seeds, service.net.now))
+    service.net.publish(again, STATE.SERVING)
+    await service.run(20)
+    found = service.table.read("directory/order")
+    entries = directory.parse_directory(found).unwrap().entries
+    assert [entry.incarnation for entry in entries] == [1, 9]
+
+
+async def test_platform_outage_is_waited_out_with_few_calls():
+    """An outage makes all nodes call the platform in a tight loop."""
+    service = _Service(3)
+    for store in service.stores.values():
+        store.inject(memory.FaultMode.DOWN)
+    async with anyio.create_task_group() as group:
+        for task in service.tasks.values():
+            group.start_soon(task.run)
+        for _ in range(300):
+            await anyio.sleep(1.0)
+            service.net.run(1)
+        calls = sum(s.calls.total for s in service.stores.values())
+        for store in service.stores.values():
+            store.inject(memory.FaultMode.UP)
+        for _ in range(60):
+            await anyio.sleep(1.0)
+            service.net.run(1)
+        group.cancel_scope.cancel()
+    assert calls <= 3 * 30
+    assert len(service.listed()) == 3
+
+
+async def test_cut_off_node_does_not_empty_the_directory():
+    """A node without gossip contact removes all others from the object."""
+    service = _Service(3)
+    await service.run(15)
+    for port in (2, 3):
+        service.net.cut.add(frozenset({1, port}))
+    for port in (2, 3):
+        del service.tasks[port]
+        del service.net.nodes[port]
+    await service.run(200)
+    assert len(service.listed()) == 3
