--- a/medlardoor/config/jsonc.py
+++ b/medlardoor/config/jsonc.py
@@ -280,11 +280,14 @@
         Values and lines, or the first syntax error, or all faults of the
         values (duplicate keys, nesting, numbers out of range).
     """
-    size = len(text.encode(errors="surrogatepass"))
+    try:
+        size = len(text.encode())
+        expected = f"at most {max_bytes} bytes, not {size} bytes"
+    except UnicodeEncodeError:
+        size = math.inf
+        expected = "text without lone surrogates"
     if size > max_bytes:
-        fault = errors.Fault(
-            "$", 0, f"at most {max_bytes} bytes, not {size} bytes"
-        )
+        fault = errors.Fault("$", 0, expected)
         return result.Err(errors.InvalidInput(source, (fault,)))
     body = text.removeprefix("\ufeff")
     try:
--- a/medlardoor/config/models.py
+++ b/medlardoor/config/models.py
@@ -10,6 +10,8 @@
 import pydantic
 
 __all__ = [
+    "MAX_AUTHOR_CHARACTERS",
+    "MAX_EARLIER",
     "MAX_KINDS",
     "MAX_NOTE_CHARACTERS",
     "MAX_RETRY_BUDGET",
@@ -165,7 +167,7 @@
 
     Attributes:
         version: Version of the object that it made.
-        promotion_id: Its random id.
+        promotion_id: Its random id; empty if it had none.
     """
 
     version: int = pydantic.Field(ge=1)
@@ -182,8 +184,10 @@
         note: What the operator says about it.
         promotion_id: Random id of the promotion that made this version; an
             operator whose answer was lost recognises the own change by it.
-        earlier: Promotions before this one, latest first, for an operator
-            whose answer was lost and whose change was then replaced.
+        is_trial: Whether this version changed only the trial document.
+        earlier: Promotions before this one, latest first, at most
+            `MAX_EARLIER`, for an operator whose answer was lost and whose
+            change was then replaced.
     """
 
     enforced: str
@@ -191,6 +195,7 @@
     author: str = pydantic.Field(default="", max_length=MAX_AUTHOR_CHARACTERS)
     note: str = pydantic.Field(default="", max_length=MAX_NOTE_CHARACTERS)
     promotion_id: str = ""
+    is_trial: bool = False
     earlier: tuple[StoredPromotion, ...] = pydantic.Field(
         default=(), max_length=MAX_EARLIER
     )
--- a/medlardoor/config/settings.py
+++ b/medlardoor/config/settings.py
@@ -9,6 +9,7 @@
     "GossipSettings",
     "LedgerSettings",
     "NodeSettings",
+    "PromotionSettings",
     "QuarantineSettings",
     "Settings",
     "StoreSettings",
@@ -101,6 +102,21 @@
     tokens: dict[str, str] = pydantic.Field(default_factory=dict)
 
 
+class PromotionSettings(Settings):
+    """Promotion of documents.
+
+    An update whose answer is lost is read back and repeated up to
+    `attempts` times; the pause doubles from `pause_s` and is drawn at
+    random between half and all of it.
+    """
+
+    attempts: int = pydantic.Field(default=6, ge=1, le=100)
+    pause_s: float = pydantic.Field(default=0.1, gt=0)
+    max_pause_s: float = pydantic.Field(default=2.0, gt=0)
+    history_entries: int = pydantic.Field(default=20, ge=1, le=100)
+    history_bytes: int = pydantic.Field(default=900_000, ge=1, le=1_000_000)
+
+
 class NodeSettings(Settings):
     """Settings of the node process.
 
@@ -127,6 +143,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     ledger: LedgerSettings = LedgerSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    promotion: PromotionSettings = PromotionSettings()
     drain_timeout_s: float = pydantic.Field(default=60.0, gt=0)
     forward_s: float = pydantic.Field(default=3.0, ge=0)
     log_level: str = "INFO"
--- a/medlardoor/config/tests/test_jsonc.py
+++ b/medlardoor/config/tests/test_jsonc.py
@@ -106,6 +106,7 @@
     (fault,) = _faults("[" * (depth + 1) + "]" * (depth + 1))
     assert "nested" in fault.expected
     assert _faults("[" * 100_000 + "]" * 100_000)[0].line == 1
+    assert "surrogates" in _faults("1 // \ud800")[0].expected
     assert "bytes" in _faults(" " * (jsonc.MAX_TEXT_BYTES + 1))[0].expected
 
 
--- /dev/null
+++ b/medlardoor/promotion/__init__.py
@@ -0,0 +1,1 @@
+"""Promotion of operator documents to the platform."""
--- /dev/null
+++ b/medlardoor/promotion/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of promotion."""
