--- a/medlardoor/config/settings.py
+++ b/medlardoor/config/settings.py
@@ -9,6 +9,7 @@
     "GossipSettings",
     "LedgerSettings",
     "NodeSettings",
+    "OperatorSettings",
     "PromotionSettings",
     "QuarantineSettings",
     "Settings",
@@ -147,3 +148,18 @@
     drain_timeout_s: float = pydantic.Field(default=60.0, gt=0)
     forward_s: float = pydantic.Field(default=3.0, ge=0)
     log_level: str = "INFO"
+
+
+class OperatorSettings(Settings):
+    """Where the operator command finds a node.
+
+    `timeout_s` covers a promotion whose answer the node has to read back
+    from the platform several times.
+    """
+
+    node: pydantic.HttpUrl
+    token: str = pydantic.Field(default="", pattern=r"^[!-~]{0,512}$")
+    connect_timeout_s: float = pydantic.Field(default=5.0, gt=0)
+    timeout_s: float = pydantic.Field(default=60.0, gt=0)
+    read_back_attempts: int = pydantic.Field(default=5, ge=1)
+    read_back_pause_s: float = pydantic.Field(default=1.0, gt=0)
