--- a/medlardoor/standins/demo.py
+++ b/medlardoor/standins/demo.py
@@ -85,6 +85,8 @@
     Args:
         arguments: ``--uncontrolled`` runs only the half without control.
     """
+    # A shell starts background jobs with SIGINT ignored.
+    signal.signal(signal.SIGINT, _interrupt)
     signal.signal(signal.SIGTERM, _interrupt)
     signal.signal(signal.SIGALRM, _end_of_time)
     signal.alarm(TIME_LIMIT_S)
