--- a/medlardoor/cli/burn.py
+++ b/medlardoor/cli/burn.py
@@ -1,5 +1,6 @@
 """Command line of the burn report."""
 
+import dataclasses
 import json
 import sys
 
@@ -13,13 +14,31 @@
 from medlardoor import errors
 from medlardoor.report import burn
 
-__all__ = ["BurnCommand", "fetch_report", "main"]
+__all__ = ["BurnCommand", "NodeUnavailable", "fetch_report", "main"]
 
 PATH = "/v1/burn"
 TIMEOUT_S = 5.0
 MAX_BODY_BYTES = 4_000_000
 
 
+@dataclasses.dataclass(frozen=True)
+class NodeUnavailable(errors.Failure):
+    """A node that gave no report.
+
+    Attributes:
+        node: URL of its administration listener.
+        detail: What was received instead.
+    """
+
+    node: str
+    detail: str
+
+    @property
+    def message(self) -> str:
+        """One sentence for a log line or an operator."""
+        return f"{self.node} gave no report: {self.detail}"
+
+
 class BurnCommand(command.Command):
     """Shows the service-level burn of one node or several nodes."""
 
@@ -82,7 +101,7 @@
 
 async def fetch_report(
     node: str, token: str
-) -> result.Result[burn.BurnReport, errors.InvalidInput]:
+) -> result.Result[burn.BurnReport, errors.Failure]:
     """Reads the burn report of a node.
 
     Args:
@@ -105,9 +124,9 @@
         httpcore.TimeoutException,
         httpcore.UnsupportedProtocol,
     ) as error:
-        return _failure(node, f"an answer ({type(error).__name__})")
+        return result.Err(NodeUnavailable(node, type(error).__name__))
     if response.status != 200:
-        return _failure(node, f"status 200, got {response.status}")
+        return result.Err(NodeUnavailable(node, f"status {response.status}"))
     return burn.parse_report(node, body)
 
 
@@ -120,11 +139,6 @@
     return body
 
 
-def _failure(node, expected):
-    fault = errors.Fault(PATH, 0, expected)
-    return result.Err(errors.InvalidInput(node, (fault,)))
-
-
 def main() -> int:
     """Runs the command with the options of the command line."""
     app = application.Application("medlardoor-burn")
