--- /dev/null
+++ b/medlardoor/ledger/tests/test_interleavings.py
@@ -0,0 +1,132 @@
+"""Property test of G1, G4 and G5 over several owners with faults."""
+
+import collections
+import dataclasses
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+
+from medlardoor import errors
+from medlardoor.config import settings as settings_module
+from medlardoor.ledger import keys, records, state, usage
+
+NODES = 2
+BUDGET = 2
+SETTINGS = settings_module.LedgerSettings(
+    keep_s=60.0, max_records=3, max_bytes=100_000
+)
+ANSWER = state.Answer(200, (), b"done")
+
+
+@dataclasses.dataclass
+class Node:
+    """One process, its clock and its runs in progress."""
+
+    issuer: keys.KeyIssuer
+    ledger: records.Ledger
+    now: float = 0.0
+    running: list = dataclasses.field(default_factory=list)
+
+
+class World:
+    """Routes each key to its owner and records what ran."""
+
+    def __init__(self, idempotent):
+        self.idempotent = idempotent
+        self.starts = 0
+        self.issued = []
+        self.ran = collections.Counter()
+        self.dispatched = collections.Counter()
+        self.nodes = [self.start(name) for name in range(NODES)]
+
+    def start(self, name):
+        self.starts += 1
+        process_id = f"p{self.starts}"
+        issuer = keys.KeyIssuer(SETTINGS, str(name), process_id, "s" * 16)
+        return Node(issuer, records.Ledger(SETTINGS, issuer))
+
+    def issue(self, choice):
+        node = self.nodes[choice % NODES]
+        self.issued += node.issuer.issue(1 + choice % 3, node.now)
+
+    def send(self, choice):
+        if not self.issued:
+            return
+        key = self.issued[choice % len(self.issued)]
+        owner = int(key.split(".")[0])
+        # One request in four reaches a node that does not own its key.
+        name = owner if choice % 4 else (owner + 1) % NODES
+        node = self.nodes[name]
+        decision = node.ledger.begin(
+            key, b"d", node.now, BUDGET, self.idempotent
+        )
+        if isinstance(decision, records.Run):
+            assert not any(key in n.running for n in self.nodes)
+            node.running.append(key)
+        elif isinstance(decision, records.Denied):
+            self.report(key, decision.refusal.outcome)
+
+    def finish(self, choice):
+        node = self.nodes[choice % NODES]
+        if not node.running:
+            return
+        key = node.running.pop(choice % len(node.running))
+        end = choice // NODES % 4
+        outcome = (
+            errors.Outcome.ANSWERED,
+            errors.Outcome.UNKNOWN,
+            errors.Outcome.NOT_RUN,
+            errors.Outcome.NOT_RUN,
+        )[end]
+        self.ran[key] += end < 2
+        self.dispatched[key] += end < 3
+        answer = ANSWER if end == 0 else None
+        self.report(
+            key,
+            node.ledger.complete(key, outcome, answer, node.now, end < 3),
+        )
+
+    def restart(self, choice):
+        name = choice % NODES
+        # The upstream may complete what the lost process had dispatched.
+        self.ran.update(self.nodes[name].running)
+        self.dispatched.update(self.nodes[name].running)
+        self.nodes[name] = self.start(name)
+
+    def pause(self, choice):
+        self.nodes[choice % NODES].now += (0.5, 5.0, 40.0, 70.0)[choice % 4]
+
+    def report(self, key, outcome):
+        if outcome is errors.Outcome.NOT_RUN:
+            assert self.ran[key] == 0, "not-run reported for a key that ran"
+            assert not any(key in node.running for node in self.nodes)
+
+    def check(self):
+        assert max(self.dispatched.values(), default=0) <= 1 + BUDGET
+        if not self.idempotent:
+            assert max(self.ran.values(), default=0) <= 1, "ran twice"
+
+
+OPERATIONS = ("issue", "send", "send", "send", "finish", "finish", "pause")
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from((*OPERATIONS, "restart")),
+        strategies.integers(0, 23),
+    ),
+    min_size=20,
+    max_size=120,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+@hypothesis.given(idempotent=strategies.booleans(), steps=STEPS)
+def test_no_interleaving_breaks_the_guarantees(idempotent, steps):
+    """G1, G4, G5: a key runs twice, or not-run is said of a key that ran."""
+    # Small chunks let the bitmap of expired keys be freed within a run.
+    with mock.patch.object(usage, "KEYS_PER_CHUNK", 8):
+        world = World(idempotent)
+        world.issue(2)
+        for operation, choice in steps:
+            getattr(world, operation)(choice)
+            world.check()
--- /dev/null
+++ b/medlardoor/ledger/tests/test_records.py
@@ -0,0 +1,187 @@
+"""Tests of the records of keys."""
+
+import pytest
+
+from medlardoor import errors
+from medlardoor.config import settings as settings_module
+from medlardoor.ledger import keys, records, state, usage
+
+ANSWERED = errors.Outcome.ANSWERED
+NOT_RUN = errors.Outcome.NOT_RUN
+UNKNOWN = errors.Outcome.UNKNOWN
+ANSWER = state.Answer(201, ((b"location", b"/orders/7"),), b"created")
+
+
+class Owner:
+    """A ledger with its issuer and small limits."""
+
+    def __init__(self, process_id="p1", **limits):
+        settings = settings_module.LedgerSettings(keep_s=60.0, **limits)
+        self.issuer = keys.KeyIssuer(settings, "a", process_id, "s" * 16)
+        self.ledger = records.Ledger(settings, self.issuer)
+
+    def issue(self):
+        return self.issuer.issue(1, 0.0)[0]
+
+    def begin(self, key, digest=b"d", now=0.0, **options):
+        return self.ledger.begin(key, digest, now, **options)
+
+    def run(self, outcome=ANSWERED, answer=ANSWER, now=0.0):
+        key = self.issue()
+        assert isinstance(self.begin(key, now=now), records.Run)
+        self.ledger.complete(key, outcome, answer, now)
+        return key
+
+
+def _refused(decision):
+    assert isinstance(decision, records.Denied)
+    return decision.refusal.outcome, decision.refusal.reason
+
+
+def test_resent_order_gets_the_kept_answer():
+    """G5: an order whose answer was lost runs a second time."""
+    owner = Owner()
+    key = owner.issue()
+    assert isinstance(owner.begin(key), records.Run)
+    assert isinstance(owner.begin(key), records.Join)
+    assert owner.ledger.complete(key, ANSWERED, ANSWER, 1.0) is ANSWERED
+    assert owner.begin(key) == records.Replay(ANSWER)
+
+
+def test_key_is_bound_to_one_request():
+    """G3: a caller gets the answer to another request with its key."""
+    owner = Owner()
+    key = owner.run()
+    mismatch = errors.Reason.KEY_MISMATCH
+    assert _refused(owner.begin(key, b"x")) == (ANSWERED, mismatch)
+    key = owner.run(NOT_RUN, None)
+    assert _refused(owner.begin(key, b"x")) == (NOT_RUN, mismatch)
+    key = owner.issue()
+    owner.begin(key)
+    assert _refused(owner.begin(key, b"x")) == (UNKNOWN, mismatch)
+
+
+def test_keys_of_lost_owners_never_run():
+    """G5: a restarted node runs an order that its predecessor ran."""
+    former = Owner("p0")
+    key = former.issue()
+    expected = (UNKNOWN, errors.Reason.KEY_OWNER_LOST)
+    assert _refused(Owner("p1").begin(key)) == expected
+
+
+def test_sequence_that_was_not_issued_does_not_run():
+    """A leaked MAC key must not open records far above the sequence."""
+    ahead, owner = Owner(), Owner()
+    key = ahead.issue()
+    expected = (NOT_RUN, errors.Reason.KEY_INVALID)
+    assert _refused(owner.begin(key)) == expected
+
+
+def test_unknown_order_is_never_run_again():
+    """G5: an order with a broken connection is dispatched again."""
+    owner = Owner()
+    key = owner.run(UNKNOWN, None)
+    expected = (UNKNOWN, errors.Reason.UPSTREAM_FAILED)
+    assert _refused(owner.begin(key)) == expected
+    assert owner.ledger.complete(key, ANSWERED, ANSWER, 1.0) is ANSWERED
+    assert owner.begin(key) == records.Replay(ANSWER)
+
+
+def test_doubt_about_an_earlier_run_stays():
+    """G4: not-run is reported although an earlier run may have happened."""
+    owner = Owner()
+    key = owner.issue()
+    owner.begin(key, idempotent=True)
+    owner.ledger.complete(key, UNKNOWN, None, 0.0)
+    assert isinstance(owner.begin(key), records.Run)
+    assert owner.ledger.complete(key, NOT_RUN, None, 0.0) is UNKNOWN
+    assert owner.ledger.complete(key, NOT_RUN, None, 0.0) is UNKNOWN
+
+
+def test_resends_spend_the_budget_of_the_key():
+    """G1: a caller that resends without end runs without end."""
+    owner = Owner()
+    key = owner.issue()
+    runs = 0
+    while isinstance(owner.begin(key, retry_budget=2), records.Run):
+        runs += 1
+        owner.ledger.complete(key, NOT_RUN, None, 0.0)
+    assert runs == 3
+    expected = (NOT_RUN, errors.Reason.BUDGET_EXHAUSTED)
+    assert _refused(owner.begin(key)) == expected
+    assert owner.ledger.budget_of(key).remaining == 0
+
+
+def test_refused_requests_cost_neither_budget_nor_records():
+    """Orders refused under overload use up their retries without a run."""
+    owner = Owner()
+    key = owner.issue()
+    for _ in range(10):
+        assert isinstance(owner.begin(key), records.Run)
+        outcome = owner.ledger.complete(key, NOT_RUN, None, 0.0, False)
+        assert outcome is NOT_RUN
+    assert owner.ledger.record_count == owner.ledger.used_bytes == 0
+
+
+def test_refusal_does_not_forget_a_dispatched_run():
+    """G1: alternating refusals and runs evade the bound on retries."""
+    owner = Owner()
+    key = owner.issue()
+    runs = 0
+    for i in range(20):
+        if isinstance(owner.begin(key), records.Run):
+            runs += i % 2 == 0
+            owner.ledger.complete(key, NOT_RUN, None, 0.0, i % 2 == 0)
+    assert runs == 1 + records.DEFAULT_RETRY_BUDGET
+
+
+def test_evicted_keys_stay_used():
+    """G5: an order runs again after its record was evicted."""
+    owner = Owner(max_records=4)
+    used = [owner.run() for _ in range(20)]
+    assert owner.ledger.record_count == 4
+    expected = (UNKNOWN, errors.Reason.KEY_EXPIRED)
+    assert all(_refused(owner.begin(key)) == expected for key in used[:16])
+
+
+@pytest.mark.parametrize("outcome", [UNKNOWN, None])
+def test_records_in_doubt_are_not_evicted(outcome):
+    """Eviction of a run in progress lets a resent order run beside it."""
+    owner = Owner(max_records=2)
+    held = [owner.issue() for _ in range(2)]
+    for key in held:
+        owner.begin(key)
+        if outcome:
+            owner.ledger.complete(key, outcome, None, 0.0)
+    full = (NOT_RUN, errors.Reason.OVERLOAD)
+    assert _refused(owner.begin(owner.issue())) == full
+    assert not any(isinstance(owner.begin(k), records.Run) for k in held)
+    owner.ledger.expire(1_000.0)
+    owner.ledger.expire(2_000.0)
+    assert owner.ledger.record_count == (0 if outcome else 2)
+
+
+def test_answers_stay_within_the_bound_of_bytes():
+    """Kept answers exhaust the memory of the node."""
+    size = state.RECORD_BYTES + ANSWER.size_bytes
+    owner = Owner(max_bytes=size * 3, max_answer_bytes=100)
+    used = [owner.run() for _ in range(5)]
+    assert owner.ledger.used_bytes <= size * 3
+    assert owner.begin(used[-1]) == records.Replay(ANSWER)
+    large = state.Answer(200, (), b"x" * 101)
+    key = owner.run(answer=large)
+    expected = (ANSWERED, errors.Reason.KEY_EXPIRED)
+    assert _refused(owner.begin(key)) == expected
+
+
+def test_expiry_frees_records_and_bitmap(monkeypatch):
+    """A node that runs for weeks grows without bound."""
+    monkeypatch.setattr(usage, "KEYS_PER_CHUNK", 8)
+    owner = Owner()
+    key = [owner.run() for _ in range(100)][0]
+    owner.ledger.expire(61.0)
+    owner.ledger.expire(200.0)
+    assert owner.ledger.record_count == owner.ledger.used_bytes == 0
+    assert len(owner.ledger._used._chunks) <= 1
+    expected = (UNKNOWN, errors.Reason.KEY_EXPIRED)
+    assert _refused(owner.begin(key, now=200.0)) == expected
--- a/medlardoor/ledger/usage.py
+++ b/medlardoor/ledger/usage.py
@@ -10,6 +10,7 @@
 
     def __init__(self):
         self._chunks: dict[int, bytearray] = {}
+        self._first_kept = 0
 
     def __contains__(self, sequence: int) -> bool:
         chunk = self._chunks.get(sequence // KEYS_PER_CHUNK)
@@ -33,5 +34,6 @@
     def drop_through(self, sequence: int) -> None:
         """Frees chunks whose keys have all expired."""
         first_kept = (sequence + 1) // KEYS_PER_CHUNK
-        for number in [n for n in self._chunks if n < first_kept]:
-            del self._chunks[number]
+        for number in range(self._first_kept, first_kept):
+            self._chunks.pop(number, None)
+        self._first_kept = first_kept
