Keep restarted, doubled and leaving members visible to everybody

Sequence numbers were kept by instance, so the digests of a restarted process counted as replayed and its too low incarnation was never corrected (test: dead for 9 and 90 s). Answers to subscribers now hold recent changes, and two processes with one name outbid each other at most once a second.

--- a/medlardoor/bench/gossip_slopes.py
+++ b/medlardoor/bench/gossip_slopes.py
@@ -200,7 +200,8 @@
             return fleet.now - began
         for node in behind:
             known = max(
-                member.document_version for member in node.live_members(0.0)
+                member.document_version
+                for member in node.live_members(fleet.now)
             )
             if known >= version:
                 fleet.publish(node, version)
--- a/medlardoor/membership/digests.py
+++ b/medlardoor/membership/digests.py
@@ -87,6 +87,8 @@
         difference = group.difference(request.heartbeats, now)
         digest = self._digest([self._own], False, difference.heartbeats)
         self._add(digest, group, difference.missing)
+        # Not every subscriber gets each push, so changes are answered too.
+        self._add(digest, group, group.next_changed())
         if request.service_name != self._own.service:
             in_turn = group.next_in_turn(_RECORDS_FOR_SUBSCRIBER, now)
             self._add(digest, group, in_turn)
--- a/medlardoor/membership/gossip.py
+++ b/medlardoor/membership/gossip.py
@@ -38,9 +38,7 @@
 
 
 class GossipController:
-    """Writes the `membership` topic; sends nothing by itself.
-
-    All methods that return `Send` objects leave the sending to the caller.
+    """Writes the `membership` topic; the caller sends what it returns.
 
     Args:
         settings: Times and limits.
@@ -73,6 +71,7 @@
         self._level_push_at = float("-inf")
         self._level_push_due = False
         self._lost_contact_at = float("-inf")
+        self._defended_at = float("-inf")
 
     @property
     def own(self) -> topics.Member:
@@ -186,8 +185,8 @@
             now: Current time, in seconds.
         """
         groups = [self._group, *self._called.values()]
-        members = [m for group in groups for m in group.members.values()]
-        if self._detector.tick(members, now):
+        known = [m for group in groups for m in group.members.values()]
+        if self._detector.tick(known, now):
             self._counters.pauses += 1
         self._own.heartbeat += 1
         for group in groups:
@@ -352,10 +351,14 @@
         own = self._own
         if records.from_record(record, own.service, now) is None:
             return []
-        if record.process_id == own.process_id:
+        is_own = record.process_id == own.process_id
+        if is_own or record.incarnation < own.incarnation:
             return []
-        if record.incarnation < own.incarnation:
+        # Two processes with one name would otherwise outbid each other with
+        # each datagram.
+        if now - self._defended_at < self._settings.interval_s:
             return []
+        self._defended_at = now
         self._counters.incarnation_conflicts += 1
         own.incarnation = record.incarnation + 1
         own.heartbeat += 1
--- a/medlardoor/membership/subscriptions.py
+++ b/medlardoor/membership/subscriptions.py
@@ -43,7 +43,6 @@
 
 @dataclasses.dataclass(slots=True)
 class _Sender:
-    incarnation: int
     sequence: int
     at: float
 
@@ -52,7 +51,8 @@
     """Tells new digests from replayed, doubled and late ones.
 
     Their records are judged one by one; this filter only decides whether a
-    digest is a sign of contact and deserves an answer.
+    digest is a sign of contact and deserves an answer. Sequences are kept by
+    process, because a restarted one begins again at 1.
     """
 
     def __init__(self):
@@ -60,17 +60,15 @@
 
     def is_new(self, digest: ttypes.Digest, now: float) -> bool:
         """Whether this is the newest digest of its sender so far."""
-        sender = digest.sender
-        incarnation, sequence = digest.incarnation or 0, digest.sequence or 0
+        sender = f"{digest.sender}/{digest.records[0].process_id}"
+        sequence = digest.sequence or 0
         known = self._senders.get(sender)
-        if known is not None:
-            last = (known.incarnation, known.sequence)
-            if (incarnation, sequence) <= last:
-                return False
+        if known is not None and sequence <= known.sequence:
+            return False
         self._senders.pop(sender, None)
         if len(self._senders) >= _MAX_SENDERS:
             del self._senders[next(iter(self._senders))]
-        self._senders[sender] = _Sender(incarnation, sequence, now)
+        self._senders[sender] = _Sender(sequence, now)
         return True
 
     def expire(self, now: float) -> None:
--- a/medlardoor/membership/tests/test_gossip.py
+++ b/medlardoor/membership/tests/test_gossip.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from medlardoor.blackboard import topics
 from medlardoor.membership.tests import network
@@ -98,6 +99,22 @@
     assert "catalogue-050" not in _known(nodes[0])
 
 
+def test_subscriber_that_misses_the_push_learns_of_a_leaving_member():
+    """A subscriber sends new work to a leaving member for many seconds."""
+    net, nodes = _group(40)
+    caller = network.node(50, service="catalogue")
+    net.nodes[50] = caller
+    seeds = [network.address(n) for n in nodes]
+    net.deliver(caller, caller.subscribe("order", seeds, net.now))
+    net.run(15)
+    net.cut.add(frozenset({1, 50}))
+    net.publish(nodes[0], STATE.LEAVING)
+    net.run(3)
+    states = caller._topic.services["order"]
+    assert len(states) == 40
+    assert states["order-001"].state is STATE.LEAVING
+
+
 def test_level_pushes_are_bounded():
     """A level that changes ten times a second floods the network."""
     net, nodes = _group(4)
@@ -108,9 +125,12 @@
     assert len(net.sent) - before <= 3 * 4
 
 
-def test_restart_with_an_old_incarnation_rises_above_it():
+@pytest.mark.parametrize("dead_s", [0, 9, 90])
+def test_restart_with_an_old_incarnation_rises_above_it(dead_s):
     """A restarted node whose clock went back is ignored by its peers."""
     net, nodes = _group(3)
+    del net.nodes[3]
+    net.run(dead_s)
     for incarnation in (1, 0):
         process_id = f"restarted-{incarnation}"
         again = network.node(3, incarnation, process_id=process_id)
@@ -124,6 +144,21 @@
             assert _known(controller)["order-003"].process_id == process_id
 
 
+def test_two_processes_with_one_name_stay_bounded():
+    """Two processes that share a name by mistake flood their group."""
+    net, nodes = _group(3)
+    double = network.node(3, process_id="double")
+    double.own.gossip_port = 4
+    net.nodes[4] = double
+    net.deliver(double, double.join([network.address(nodes[0])], net.now))
+    net.publish(double, STATE.SERVING)
+    before = len(net.sent)
+    net.run(60)
+    assert double.counters.incarnation_conflicts <= 61
+    assert nodes[2].counters.incarnation_conflicts <= 61
+    assert len(net.sent) - before <= 60 * 4 * 12
+
+
 def test_member_that_left_does_not_return():
     """A late digest brings a member back that has left."""
     net, nodes = _group(3)
