Bound the list of faults and the length of keys

Cause: a text of faults alone makes a node search similar keys for each and answer with megabytes.

Change: at most 500 faults are listed and the rest is counted; keys have at most 256 characters; lines are found by descending the tree instead of building all paths.

--- a/medlardoor/config/jsonc.py
+++ b/medlardoor/config/jsonc.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "MAX_DEPTH",
+    "MAX_FAULTS",
     "MAX_TEXT_BYTES",
     "ParsedText",
     "PathPart",
@@ -33,6 +34,10 @@
 # Longer integers have no use in settings and are slow to convert.
 MAX_INTEGER = 2**63 - 1
 MAX_NUMBER_CHARACTERS = 40
+# Paths hold all keys above a value, so long keys multiply.
+MAX_KEY_CHARACTERS = 256
+# A hostile text of 440 KB holds 18,000 faults; nobody reads that many.
+MAX_FAULTS = 500
 MAX_SHOWN_CHARACTERS = 20
 # About 0.2 ms of work.
 TOKENS_PER_STEP = 16
@@ -106,21 +111,31 @@
 
     @functools.cached_property
     def lines(self) -> dict[str, int]:
-        """Line of every value by JSON path, counted from 1.
-
-        Built at the first use, because only texts with faults need it.
-        """
+        """Line of every value by JSON path, counted from 1."""
         lines: dict[str, int] = {}
         _collect_lines(self.root, (), lines)
         return lines
 
     def line_of(self, parts: tuple[PathPart, ...]) -> int:
         """Line of a value, or of its closest parent if it is missing."""
-        for end in range(len(parts), 0, -1):
-            line = self.lines.get(format_path(parts[:end]))
-            if line is not None:
-                return line
-        return self.root.line
+        node = self.root
+        for part in parts:
+            below = _find_child(node, part)
+            if below is None:
+                break
+            node = below
+        return node.line
+
+
+def _find_child(node: _Node, part: PathPart) -> _Node | None:
+    """Node of a key or a position below another one."""
+    if isinstance(node.value, tuple):
+        for member in node.value:
+            if member.key.value == part:
+                return member.node
+    elif isinstance(node.value, list) and isinstance(part, int):
+        return node.value[part] if part < len(node.value) else None
+    return None
 
 
 def _collect_lines(
@@ -229,6 +244,9 @@
             key = member.key.value
             if member.key.expected:
                 self._add(parts, member.key.line, member.key.expected)
+            elif len(key) > MAX_KEY_CHARACTERS:
+                expected = f"keys of at most {MAX_KEY_CHARACTERS} characters"
+                self._add(parts, member.key.line, expected)
             elif key in values:
                 self._add((*parts, key), member.key.line, "a unique key")
             else:
@@ -236,6 +254,8 @@
         return values
 
     def _add(self, parts: tuple[PathPart, ...], line: int, expected: str):
+        if len(self.faults) >= MAX_FAULTS:
+            return
         self.faults.append(errors.Fault(format_path(parts), line, expected))
 
 
@@ -310,7 +330,8 @@
 
     Returns:
         Values and lines, or the first syntax error, or all faults of the
-        values (duplicate keys, nesting, numbers out of range).
+        values (duplicate keys, nesting, numbers out of range), at most
+        `MAX_FAULTS`.
     """
     body = _check_size(source, text, max_bytes)
     if body.is_err():
--- a/medlardoor/config/tests/test_document.py
+++ b/medlardoor/config/tests/test_document.py
@@ -138,6 +138,16 @@
         assert fault.path.rsplit(".", 1)[1] in rows[fault.line - 1]
 
 
+def test_list_of_faults_is_bounded():
+    """A hostile document occupies a node and fills the answer."""
+    wrong = {f"max_wait{number}": 0 for number in range(18_000)}
+    text = _changed((*ORDER, wrong))
+    failure = document.parse_document("test", text).unwrap_err()
+    assert len(failure.faults) == jsonc.MAX_FAULTS + 1
+    long_key = json.dumps({"k" * 1_000: [1e400, 1e400]})
+    assert len(_faults(long_key)) == 1
+
+
 def test_unknown_key_suggests_the_right_one():
     """A misspelt key has to be looked up on a phone."""
     expected = _faults(_changed((*ORDER, "max_wait", 3)))
--- a/medlardoor/config/validation.py
+++ b/medlardoor/config/validation.py
@@ -18,19 +18,30 @@
 
 
 class FaultList:
-    """Collects faults of one text and finds their lines."""
+    """Collects faults of one text and finds their lines.
+
+    Of more than `jsonc.MAX_FAULTS` faults, the rest is only counted.
+    """
 
     def __init__(self, text: jsonc.ParsedText):
         self._text = text
         self._faults: list[errors.Fault] = []
+        self._more = 0
 
     def add(self, parts: tuple[jsonc.PathPart, ...], expected: str):
         """Records one fault at a value, or at a key that is missing."""
+        if self.is_full():
+            self._more += 1
+            return
         line = self._text.line_of(parts)
         self._faults.append(
             errors.Fault(jsonc.format_path(parts), line, expected)
         )
 
+    def is_full(self) -> bool:
+        """Whether further faults are only counted."""
+        return len(self._faults) >= jsonc.MAX_FAULTS
+
     def has_any(self) -> bool:
         """Whether a fault was recorded."""
         return bool(self._faults)
@@ -38,6 +49,9 @@
     def failure(self) -> errors.InvalidInput:
         """All faults, in order of lines."""
         ordered = sorted(self._faults, key=lambda fault: fault.line)
+        if self._more:
+            expected = f"{self._more} faults fewer, which are not listed"
+            ordered.append(errors.Fault("$", 0, expected))
         return errors.InvalidInput(self._text.source, tuple(ordered))
 
 
@@ -85,7 +99,9 @@
         known = _known_keys(model)
         for entry in error.errors(include_url=False, include_context=False):
             parts = tuple(part for part in entry["loc"] if part != "[key]")
-            faults.add(parts, describe_error(entry, known))
+            # A search for similar keys is slow, so it ends with the list.
+            hints = () if faults.is_full() else known
+            faults.add(parts, describe_error(entry, hints))
         return None
 
 
