Ask the platform before the isolation rule applies

Cause: a watch of 30 s answers later than the isolation time of 10 s, so the last live node of a service refused everything while the platform answered.

Change: after half the isolation time without contact a watch is interrupted and the object is read. Long documents are parsed in steps before adoption.

Result: the new test fails without the interruption (1 failed, 13 passed) and passes with it (14 passed).

--- a/medlardoor/adoption/controller.py
+++ b/medlardoor/adoption/controller.py
@@ -61,6 +61,10 @@
     ) -> result.Result[ParsedObject, errors.InvalidInput]:
         """Parses and checks the object; never raises for wrong input."""
 
+    @abc.abstractmethod
+    async def prepare(self, value: bytes) -> None:
+        """Does the long part of `parse` in steps beside other work."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Adopted:
@@ -284,6 +288,18 @@
         """Notes that the platform answered, whatever it answered."""
         self._rule.note_platform_contact(now)
 
+    def needs_contact(self, now: float) -> bool:
+        """Whether this node may soon count as cut off.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        return self._rule.needs_contact(now)
+
+    async def prepare(self, value: bytes) -> None:
+        """Parses an object in steps, so that `offer` is short."""
+        await self._parser.prepare(value)
+
     def is_overdue(self, now: float) -> bool:
         """Whether peers did not deliver a newer version within seconds."""
         if self._seen_version <= self.newest_judged_version:
--- a/medlardoor/adoption/isolation.py
+++ b/medlardoor/adoption/isolation.py
@@ -40,8 +40,19 @@
         Args:
             now: Current time, in seconds.
         """
+        return self._silence_s(now) > self._limit_s
+
+    def needs_contact(self, now: float) -> bool:
+        """Whether the platform should be asked before the rule applies.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        return self._silence_s(now) > self._limit_s / 2
+
+    def _silence_s(self, now: float) -> float:
+        """Time since the last contact; 0 if no node was ever heard."""
         heard_at = self._membership.last_contact_at
         if heard_at is None:
-            return False
-        latest = max(heard_at, self._platform_at or heard_at)
-        return now - latest > self._limit_s
+            return 0.0
+        return now - max(heard_at, self._platform_at or heard_at)
--- a/medlardoor/adoption/tests/test_controller.py
+++ b/medlardoor/adoption/tests/test_controller.py
@@ -27,6 +27,9 @@
         parsed = policy.Policy(value.decode(), (), {}, {})
         return result.Ok(controller.ParsedObject(parsed))
 
+    async def prepare(self, value):
+        pass
+
 
 class Node:
     """An adoption controller with its blackboard."""
--- a/medlardoor/adoption/tests/test_watching.py
+++ b/medlardoor/adoption/tests/test_watching.py
@@ -129,3 +129,22 @@
 
     await _run(_watcher(node, store), 30.0, mention)
     assert node.board.policy.version == 2
+
+
+async def test_last_node_of_a_service_is_not_isolated_while_platform_answers():
+    """A node whose peers have all failed refuses although nothing is cut."""
+    node, store = test_controller.Node(), memory.MemoryObjectStore()
+    store.table.update(KEY, b"first", 0).unwrap()
+    isolated = []
+
+    async def lose_peers():
+        await anyio.sleep(1.0)
+        node.board.membership.last_contact_at = anyio.current_time()
+        for _ in range(300):
+            await anyio.sleep(0.2)
+            node.adoption.tick(anyio.current_time())
+            isolated.append(node.board.policy.isolated)
+
+    await _run(_watcher(node, store), 70.0, lose_peers)
+    assert len(isolated) == 300
+    assert not any(isolated)
--- a/medlardoor/adoption/watching.py
+++ b/medlardoor/adoption/watching.py
@@ -78,8 +78,7 @@
             # by all nodes at once when it comes back.
             wait_s = self._random.uniform(0, _SAFETY_READ_S)
             self._next_read_at = now + wait_s
-        if phase is controller_module.AdoptionPhase.ISOLATED:
-            # Only an answer shows at once that the node is not cut off.
+        if self._controller.needs_contact(now):
             await self._read()
             await anyio.sleep(_ROLE_INTERVAL_S)
         elif self._controller.is_watcher(now):
@@ -109,9 +108,15 @@
 
     async def _watch(self) -> None:
         began = anyio.current_time()
-        answer = await self._store.watch(
-            self._key, self._controller.newest_judged_version, self._watch_s
-        )
+        answer = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._interrupt_watch, tasks.cancel_scope)
+            answer = await self._store.watch(
+                self._key, self._controller.newest_judged_version, self._watch_s
+            )
+            tasks.cancel_scope.cancel()
+        if answer is None:
+            return
         await self._take(answer)
         if answer.is_ok() and answer.ok_value is None:
             self._controller.confirm(anyio.current_time())
@@ -119,6 +124,18 @@
             early_s = began + _ROLE_INTERVAL_S - anyio.current_time()
             await anyio.sleep(max(0.0, early_s))
 
+    async def _interrupt_watch(self, scope: anyio.CancelScope) -> None:
+        """Ends a watch when only a read can show at once that all is well.
+
+        A watch without news answers after `watch_s`, which is longer than
+        the isolation time.
+        """
+        while not self._controller.needs_contact(  # noqa: ASYNC110
+            anyio.current_time()
+        ):
+            await anyio.sleep(_ROLE_INTERVAL_S)
+        scope.cancel()
+
     async def _take(
         self,
         answer: result.Result[
@@ -134,6 +151,8 @@
         found = answer.ok_value
         if found is None:
             return
+        await self._controller.prepare(found.value)
+        now = anyio.current_time()
         offered = self._controller.offer(found.version, found.value, now)
         if isinstance(offered, controller_module.Rejected):
             self._rejection = offered.failure
--- a/medlardoor/config/settings.py
+++ b/medlardoor/config/settings.py
@@ -45,15 +45,11 @@
 
 
 class StoreSettings(Settings):
-    """The object API of the platform.
-
-    A watch must be shorter than the isolation time, or a node whose peers
-    have all failed counts as cut off although the platform answers it.
-    """
+    """The object API of the platform."""
 
     url: str = "http://127.0.0.1:7400"
     timeout_s: float = pydantic.Field(default=2.0, gt=0)
-    watch_s: float = pydantic.Field(default=8.0, gt=0)
+    watch_s: float = pydantic.Field(default=30.0, gt=0)
 
 
 class GossipSettings(Settings):
--- a/medlardoor/node/configuration.py
+++ b/medlardoor/node/configuration.py
@@ -52,6 +52,16 @@
             controller_module.ParsedObject(enforced.ok(), trial.ok())
         )
 
+    async def prepare(self, value: bytes) -> None:
+        """Parses the texts of an object in steps beside other work."""
+        key = document.document_key(self._environment)
+        stored = document.parse_object(key, value)
+        if stored.is_err():
+            return
+        for text in (stored.ok().enforced, stored.ok().trial):
+            if text is not None:
+                await document.prepare_document(key, text)
+
 
 class ConfigurationTask:
     """Adopts documents from the platform and from other nodes.
@@ -114,6 +124,7 @@
                 detail=fetched.err().message,
             )
             return
+        await self._controller.prepare(fetched.ok().value)
         now = anyio.current_time()
         offered = self._controller.offer_transfer(fetched.ok(), now)
         if isinstance(offered, controller_module.Adopted):
