--- a/medlardoor/standins/children.py
+++ b/medlardoor/standins/children.py
@@ -167,6 +167,7 @@
 
 
 def _failure_of(service, answer):
+    """Failure with outcome and reason of the deepest call that failed."""
     try:
         problem = json.loads(answer.body)
     except ValueError:
@@ -177,6 +178,6 @@
         service,
         answer.status,
         str(problem.get("detail", "")),
-        str(problem.get("outcome", "")),
-        str(problem.get("reason", "")),
+        str(problem.get("outcome") or problem.get("child_outcome", "")),
+        str(problem.get("reason") or problem.get("child_reason", "")),
     )
--- a/medlardoor/standins/processes.py
+++ b/medlardoor/standins/processes.py
@@ -20,20 +20,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotListening(errors.Failure):
-    """A process that did not report its listeners in time.
+    """A process that did not listen or answer in time.
 
     Attributes:
         name: Name of the process.
-        log: End of its log.
+        detail: End of its log, or its last answer.
     """
 
     name: str
-    log: str
+    detail: str
 
     @property
     def message(self) -> str:
         """One sentence for a log line or an operator."""
-        return f"{self.name} did not report its listeners: {self.log}"
+        return f"{self.name} is not ready: {self.detail}"
 
 
 class StartError(Exception):
--- a/medlardoor/standins/upstream.py
+++ b/medlardoor/standins/upstream.py
@@ -228,7 +228,7 @@
             self._in_use -= 1
             self._slots.release()
         if called.is_err():
-            self._end(run, "failed")
+            self._end(run, "failed", reason=called.err_value.message)
             await answers.send_child_failure(send, called.err_value)
             return
         self._end(run, "answered")
@@ -267,9 +267,9 @@
             **fields,
         )
 
-    def _end(self, run, end):
+    def _end(self, run, end, **fields):
         run.ended = True
-        self._write("end", run, end=end)
+        self._write("end", run, end=end, **fields)
 
 
 async def _watch(receive, cancel_scope):
