Announce the state of the upstream and keep quarantines in the platform

Cause: a node whose upstream drained or was down stayed announced as serving; crash reports of more than 64 fingerprints exceeded a datagram and were dropped; quarantines were lost when all nodes of a service restarted; a request that crashed one upstream was retried by nodes on the next one.

Change: the announced state follows the upstream, the document and the isolation rule. Crash reports are split. quarantine/<service> is read at the start and written on change. A suspect is not retried by nodes. Idempotent kinds accept keys of the caller's own. Outgoing requests carry a traceparent.

--- a/medlardoor/errors.py
+++ b/medlardoor/errors.py
@@ -33,6 +33,7 @@
     CANCELLED = "cancelled"
     UPSTREAM_UNAVAILABLE = "upstream_unavailable"
     UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_CRASHED = "upstream_crashed"
     UPSTREAM_SHED = "upstream_shed"
     NO_UPSTREAM = "no_upstream"
     NODE_UNREACHABLE = "node_unreachable"
--- a/medlardoor/node/arrival.py
+++ b/medlardoor/node/arrival.py
@@ -25,6 +25,8 @@
     b"n": 1e-9,
 }
 CHAIN_ID_BYTES = 16
+# A node gets its document within seconds once it has contact again.
+RETRY_AFTER_MS = 2_000
 
 
 def chain_id_of(request: exchange.Request) -> bytes:
@@ -60,9 +62,12 @@
             may then have run elsewhere.
     """
     refusal = adoption.refusal()
-    if refusal is not None and keyed:
-        return dataclasses.replace(refusal, outcome=errors.Outcome.UNKNOWN)
-    return refusal
+    if refusal is None:
+        return None
+    outcome = errors.Outcome.UNKNOWN if keyed else refusal.outcome
+    return dataclasses.replace(
+        refusal, outcome=outcome, retry_after_ms=RETRY_AFTER_MS
+    )
 
 
 def new_call(
--- a/medlardoor/node/assembly.py
+++ b/medlardoor/node/assembly.py
@@ -24,6 +24,7 @@
     gossiping,
     listeners,
     parts,
+    quarantining,
     upstream,
 )
 from medlardoor.node import transport as transport_module
@@ -40,6 +41,8 @@
 __all__ = ["Connections", "build"]
 
 PROCESS_ID_BYTES = 8
+# 64 fingerprints of 16 bytes fit into a datagram of 1,400 bytes.
+MAX_FINGERPRINTS_IN_DATAGRAM = 64
 
 
 class Connections:
@@ -94,8 +97,20 @@
     def note_crash(self) -> None:
         """Blames the requests in flight and tells the peers."""
         report = self._quarantine.upstream_crashed(anyio.current_time())
-        if report is not None:
-            self._push(ttypes.Message(crash_report=report))
+        if report is None:
+            return
+        blamed = report.fingerprints
+        for start in range(0, len(blamed), MAX_FINGERPRINTS_IN_DATAGRAM):
+            part = ttypes.CrashReport(
+                service_name=report.service_name,
+                instance=report.instance,
+                # Receivers count each crash id once, so parts need their own.
+                crash_id=secrets.randbits(63),
+                fingerprints=blamed[
+                    start : start + MAX_FINGERPRINTS_IN_DATAGRAM
+                ],
+            )
+            self._push(ttypes.Message(crash_report=part))
 
     def note_start(self) -> None:
         """Begins the cold ramp."""
@@ -212,6 +227,9 @@
             rng,
         ),
         adoption=adopter,
+        quarantine_task=quarantining.QuarantineTask(
+            quarantine, connections.store, settings.service, rng
+        ),
         configuration_task=configuration.ConfigurationTask(
             adopter,
             watching.DocumentWatcher(
--- a/medlardoor/node/executor.py
+++ b/medlardoor/node/executor.py
@@ -43,6 +43,7 @@
         body: Body of the request.
         reply: Receives the answer.
         dispatched: Whether anything was sent to an upstream or a peer.
+        fingerprint: Identity of the request for crash attribution.
     """
 
     active: calls.ActiveCall
@@ -50,6 +51,7 @@
     body: exchange.RequestBody
     reply: exchange.Reply
     dispatched: bool = False
+    fingerprint: bytes = b""
 
 
 class Executor:
@@ -108,19 +110,36 @@
             return result.Err(refusal)
         call = work.active.call
         prefix = await work.body.read_prefix()
-        fingerprint = fingerprints.fingerprint(
+        work.fingerprint = fingerprints.fingerprint(
             call.kind,
             work.request.method,
             work.request.target.decode("latin-1"),
             prefix,
         )
-        check = self._node.quarantine.check(fingerprint, anyio.current_time())
+        check = self._check_quarantine(work)
         if isinstance(check, quarantine_controller.Quarantined):
             return result.Err(check.refusal)
-        if isinstance(check, quarantine_controller.Suspect):
-            async with self._suspect_lock:
-                return await self._enter_and_dispatch(work, fingerprint)
-        return await self._enter_and_dispatch(work, fingerprint)
+        if isinstance(check, quarantine_controller.Allowed):
+            return await self._enter_and_dispatch(work)
+        async with self._suspect_lock:
+            check = self._check_quarantine(work)
+            if isinstance(check, quarantine_controller.Quarantined):
+                return result.Err(check.refusal)
+            if isinstance(check, quarantine_controller.Suspect):
+                return await self._enter_and_dispatch(work)
+        # Another request of this kind has cleared the suspicion meanwhile.
+        return await self._enter_and_dispatch(work)
+
+    def _check_quarantine(
+        self, work: Work
+    ) -> (
+        quarantine_controller.Allowed
+        | quarantine_controller.Suspect
+        | quarantine_controller.Quarantined
+    ):
+        return self._node.quarantine.check(
+            work.fingerprint, anyio.current_time()
+        )
 
     def _refusal_before_queue(
         self, call: context.CallContext
@@ -153,9 +172,7 @@
             )
         return None
 
-    async def _enter_and_dispatch(
-        self, work: Work, fingerprint: bytes
-    ) -> Ended:
+    async def _enter_and_dispatch(self, work: Work) -> Ended:
         node = self._node
         call = work.active.call
         entered = await node.gate.enter(call)
@@ -166,7 +183,7 @@
             0.0, errors.Outcome.UNKNOWN
         )
         node.registry.open(work.active)
-        node.quarantine.started(call.call_id, fingerprint, started_at)
+        node.quarantine.started(call.call_id, work.fingerprint, started_at)
         try:
             work.dispatched = True
             ended = await node.upstream.run(
@@ -219,11 +236,14 @@
                 "The upstream refused the connection.",
                 self._retry_after_ms(),
             )
-        return errors.Refusal(
-            errors.Outcome.UNKNOWN,
-            errors.Reason.UPSTREAM_FAILED,
-            failure.message,
-        )
+        reason = errors.Reason.UPSTREAM_FAILED
+        if not isinstance(
+            self._check_quarantine(work), quarantine_controller.Allowed
+        ):
+            # No node retries this by itself: one request must not crash one
+            # upstream after the other.
+            reason = errors.Reason.UPSTREAM_CRASHED
+        return errors.Refusal(errors.Outcome.UNKNOWN, reason, failure.message)
 
     async def _hand_over(self, work: Work, refusal: errors.Refusal) -> Ended:
         node = self._node
--- a/medlardoor/node/gossiping.py
+++ b/medlardoor/node/gossiping.py
@@ -52,7 +52,7 @@
         self._udp: anyio.abc.UDPSocket | None = None
         # Two tasks may not write to the socket at the same moment.
         self._send_lock = anyio.Lock()
-        self._state = topics.MemberState.STARTING
+        self._stopping: topics.MemberState | None = None
         self._malformed = 0
         self._sent_bytes = 0
 
@@ -68,8 +68,20 @@
 
     @property
     def state(self) -> topics.MemberState:
-        """State that the node announces."""
-        return self._state
+        """State that the node announces.
+
+        A node whose upstream drains or is down, or that may not serve, is
+        starting: it gets no new work and returns without a new incarnation.
+        """
+        if self._stopping is not None:
+            return self._stopping
+        policy = self._board.policy
+        upstream_state = self._board.load.upstream_state
+        if policy.policy is None or policy.isolated:
+            return topics.MemberState.STARTING
+        if upstream_state is not topics.UpstreamState.SERVING:
+            return topics.MemberState.STARTING
+        return topics.MemberState.SERVING
 
     async def run(self) -> None:
         """Sends and receives until cancelled."""
@@ -80,9 +92,9 @@
             async for data, _ in self._udp:
                 await self._receive(data)
 
-    async def announce(self, state: topics.MemberState) -> None:
-        """Changes the announced state and pushes it at once."""
-        self._state = state
+    async def announce_stop(self, state: topics.MemberState) -> None:
+        """Announces at once that the node is leaving or has left."""
+        self._stopping = state
         await self.publish()
 
     async def publish(self) -> None:
@@ -98,7 +110,12 @@
             refused_rank=limits.refused_rank,
         )
         now = anyio.current_time()
-        await self.send_all(self._controller.publish(self._state, load, now))
+        state = self.state
+        if state is not self._board.membership.state:
+            logs.log_event(
+                _LOG, logbook.INFO, "member_state", state=state.name.lower()
+            )
+        await self.send_all(self._controller.publish(state, load, now))
 
     async def send_all(self, sends: list[messages.Send]) -> None:
         """Sends digests; a failed send is left to the next round."""
--- a/medlardoor/node/ingress.py
+++ b/medlardoor/node/ingress.py
@@ -8,6 +8,7 @@
 import result
 
 from medlardoor import errors, logs
+from medlardoor.admission import levels
 from medlardoor.blackboard import topics
 from medlardoor.node import (
     arrival,
@@ -28,6 +29,7 @@
 NEXT_KEY_HEADER = b"idempotency-key-next"
 KEY_HEADER = b"idempotency-key"
 MAX_KEYS_BODY_BYTES = 256
+KEYS_BODY_TIMEOUT_S = 5.0
 SERVER_ERROR_STATUS = 500
 
 _LOG = logbook.Logger("medlardoor.ingress")
@@ -159,6 +161,9 @@
     ) -> result.Result[None, errors.Refusal]:
         active = calls.ActiveCall(call, budget_module.RetryBudget(call.budget))
         work = executor.Work(active, request, body, reply)
+        if call.idempotent and self._node.keys.parse(call.key).is_err():
+            # Callers may use keys of their own where no node needs one.
+            call.key = ""
         if not call.key and not call.idempotent:
             return result.Err(
                 errors.Refusal(
@@ -214,8 +219,8 @@
                 board.limits.effective_level,
                 self._node.paths.level_for(call.kind, now),
             )
-            rank_offset = call.level - call.rank * 128
-            if tried.ok().rank * 128 + rank_offset >= level:
+            tried_level = levels.level_of(tried.ok().rank, call.chain_id)
+            if tried_level >= level:
                 return
             reason = errors.Reason.OVERLOAD
         self._node.recorder.record_trial_refusal(call, reason, now)
@@ -226,11 +231,13 @@
         body: exchange.RequestBody,
         reply: exchange.Reply,
     ) -> None:
+        data = None
         try:
-            data = await body.read_prefix()
+            with anyio.move_on_after(KEYS_BODY_TIMEOUT_S):
+                data = await body.read_prefix()
         except exchange.CallerGone:
             return
-        count = _key_count(data)
+        count = None if data is None else _key_count(data)
         if request.method != "POST" or count is None:
             refusal = errors.Refusal(
                 errors.Outcome.NOT_RUN,
--- a/medlardoor/node/keyed.py
+++ b/medlardoor/node/keyed.py
@@ -79,9 +79,12 @@
         return result.Err(_unknown_in_time())
 
     async def _run_as_owner(self, work: executor.Work) -> Ended:
-        prefix = await work.body.read_prefix()
-        digest = _request_digest(work.request, prefix)
         call = work.active.call
+        with anyio.CancelScope(deadline=call.deadline) as scope:
+            prefix = await work.body.read_prefix()
+        if scope.cancelled_caught:
+            return result.Err(_unknown_in_time())
+        digest = _request_digest(work.request, prefix)
         while True:
             decision = self._node.ledger.begin(
                 call.key,
--- a/medlardoor/node/main.py
+++ b/medlardoor/node/main.py
@@ -15,8 +15,6 @@
 
 __all__ = ["run", "run_node"]
 
-START_POLL_S = 0.02
-
 _LOG = logbook.Logger("medlardoor.node")
 
 
@@ -84,6 +82,7 @@
         start(self._node.monitor.run)
         start(self._node.discovery.run)
         start(self._node.configuration_task.run)
+        start(self._node.quarantine_task.run)
         start(self._maintenance.adapt_admission)
         start(self._maintenance.expire_records)
         start(self._sockets.caller.serve, self._apps.caller)
@@ -93,11 +92,11 @@
         print(self._sockets.description(), flush=True)  # noqa: T201
         start(self._join)
         await self._maintenance.wait_drained()
-        await self._node.gossip_task.announce(topics.MemberState.LEFT)
+        await self._node.gossip_task.announce_stop(topics.MemberState.LEFT)
         await self._close_listeners()
 
     async def _join(self) -> None:
-        """Joins the group and announces the node when it can serve."""
+        """Joins the group of the own service."""
         node = self._node
         await node.directory_task.read()
         seeds = [_address(text) for text in node.settings.seed_addresses]
@@ -105,11 +104,6 @@
             sends = node.membership.join(seeds, anyio.current_time())
             await node.gossip_task.send_all(sends)
         self._tasks.start_soon(node.directory_task.run)
-        while node.board.policy.policy is None:  # noqa: ASYNC110
-            await anyio.sleep(START_POLL_S)
-        if not node.drain.draining:
-            await node.gossip_task.announce(topics.MemberState.SERVING)
-            logs.log_event(_LOG, logbook.INFO, "serving")
 
     async def _follow_signals(self) -> None:
         with anyio.open_signal_receiver(
@@ -124,7 +118,7 @@
             logs.log_event(_LOG, logbook.INFO, "drain_already_begun")
             return
         logs.log_event(_LOG, logbook.INFO, "drain_begun", cause=cause)
-        await self._node.gossip_task.announce(topics.MemberState.LEAVING)
+        await self._node.gossip_task.announce_stop(topics.MemberState.LEAVING)
 
     async def _close_listeners(self) -> None:
         """Closes idle connections and waits for the last answers."""
--- a/medlardoor/node/parts.py
+++ b/medlardoor/node/parts.py
@@ -19,6 +19,7 @@
     forwarding,
     gate,
     gossiping,
+    quarantining,
     upstream,
 )
 from medlardoor.node import discovery as discovery_module
@@ -70,6 +71,7 @@
         monitor: Load reports of the upstream.
         discovery: Finds members of called services.
         directory_task: Reads and writes the directory of the own service.
+        quarantine_task: Keeps quarantined fingerprints in the platform.
         configuration_task: Follows the document of the environment.
     """
 
@@ -103,4 +105,5 @@
     monitor: upstream.UpstreamMonitor
     discovery: discovery_module.Discovery
     directory_task: directory.DirectoryTask
+    quarantine_task: quarantining.QuarantineTask
     configuration_task: configuration.ConfigurationTask
--- a/medlardoor/node/upstream.py
+++ b/medlardoor/node/upstream.py
@@ -19,6 +19,7 @@
 
 CALL_HEADER = b"medlardoor-call"
 TIMEOUT_HEADER = b"grpc-timeout"
+TRACE_HEADER = b"traceparent"
 MAX_REPORT_BYTES = 4_096
 MAX_RETRY_AFTER_S = 60
 
@@ -108,6 +109,8 @@
             for header in exchange.without_hop_headers(request.headers)
             if header[0] not in (TIMEOUT_HEADER, b"content-length")
         ]
+        if request.header(TRACE_HEADER) is None:
+            passed.append((TRACE_HEADER, _trace_parent(active)))
         return [
             *passed,
             *request.framing_headers,
@@ -116,6 +119,12 @@
         ]
 
 
+def _trace_parent(active: calls.ActiveCall) -> bytes:
+    """Trace context (W3C) whose trace id is the chain id."""
+    span_id = f"{active.call.call_id:016x}"[-16:]
+    return f"00-{active.call.chain_id.hex()}-{span_id}-01".encode()
+
+
 def _shed_refusal(
     active: calls.ActiveCall, response: transport_module.Response
 ) -> errors.Refusal | None:
--- a/medlardoor/quarantine/controller.py
+++ b/medlardoor/quarantine/controller.py
@@ -264,6 +264,22 @@
             added += 1
         return result.Ok(added)
 
+    def is_covered_by(self, value: bytes, now: float) -> bool:
+        """Whether an object already holds all quarantined fingerprints.
+
+        Args:
+            value: Value of the platform object; empty if there is none.
+            now: Local clock, in seconds.
+        """
+        self.expire(now)
+        if not self._topic.quarantined:
+            return True
+        parsed = objects.parse(value)
+        if parsed.is_err():
+            return False
+        stored = parsed.unwrap().remaining_s
+        return all(f.hex() in stored for f in self._topic.quarantined)
+
     def _remember_crash(self, crash_id: int) -> None:
         self._crash_ids[crash_id] = None
         while len(self._crash_ids) > MAX_CRASH_IDS:
