--- a/medlardoor/standins/tests/test_upstream.py
+++ b/medlardoor/standins/tests/test_upstream.py
@@ -38,11 +38,18 @@
     ]
 
 
-def _call(address, method="GET", target="/", headers=None, body=b""):
+def _call(
+    address,
+    method="GET",
+    target="/",
+    headers=None,
+    body=b"",
+    timeout_s=WAIT_S,
+):
     async def exchange():
         pool = connections.ConnectionPool()
         message = connections.Message(method, target, headers or {}, body)
-        outcome = await pool.exchange(address, message, WAIT_S)
+        outcome = await pool.exchange(address, message, timeout_s)
         await pool.aclose()
         return outcome
 
@@ -150,6 +157,32 @@
     assert wrong.ok_value.status == 422
 
 
+def test_stale_report_is_frozen_and_silent_one_is_missing(group):
+    """A report that should be old is fresh, so that distrust is untested."""
+    _, address = _start(group, "stock", mean_ms=60_000, slots=1)
+    stale = b'{"report": "stale"}'
+    _call(address, "POST", "/standin/faults", body=stale)
+    assert _load(address)["in_use"] == 0
+    with _send(address):
+        _wait_for(lambda: ("start", "") in _events(group, "stock"))
+        answer = _call(address, target="/load").ok_value
+        assert json.loads(answer.body)["in_use"] == 0
+        assert "age" in answer.headers
+        silent = b'{"report": "silent"}'
+        _call(address, "POST", "/standin/faults", body=silent)
+        assert _call(address, target="/load", timeout_s=0.2).is_err()
+
+
+def test_full_queue_sheds_as_not_run(group):
+    """A limited upstream queues without limit like the baseline."""
+    _, address = _start(group, "stock", mean_ms=60_000, slots=1, queue_limit=0)
+    with _send(address):
+        _wait_for(lambda: ("start", "") in _events(group, "stock"))
+        answer = _call(address).ok_value
+    assert answer.status == 503
+    assert answer.headers["medlardoor-outcome"] == "not-run"
+
+
 def test_crash_leaves_the_start_on_record(group):
     """A run that crashed its upstream is missing from the record."""
     process, address = _start(group, "stock")
