Keep the work of admitted chains

Cause: at 5 times capacity 10 % of the work was wasted: the picker refused marginal calls by records up to a second old, after the entry had let them in. Change: records count by full ranks only, calls from inside the graph go before new chains of the marginal rank, the level rests at rank boundaries, and each rank is judged by its own queue.

--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -164,7 +164,7 @@
             return Admitted()
         lowest = self._queue.lowest_rank
         outranks = lowest is not None and lowest < call.rank
-        if call.level < self._effective_level and not outranks:
+        if call.level < self._required_level(call) and not outranks:
             return self._refuse(call, errors.Reason.OVERLOAD)
         return self._enqueue(call, now)
 
@@ -252,6 +252,17 @@
     def _effective_level(self) -> int:
         return max(self._level.value, self._floor.level)
 
+    def _required_level(self, call: context.CallContext) -> int:
+        """Level that a call needs to queue.
+
+        Work was already done for a call from inside the graph, so in the
+        marginal rank it goes before new chains. Their number is limited
+        where they enter, by the path level.
+        """
+        if call.depth > 0:
+            return self._marginal_level
+        return self._effective_level
+
     @property
     def _marginal_level(self) -> int:
         """Lowest level of the rank that is admitted in part."""
@@ -308,9 +319,8 @@
         target = self._target_queue(capacity_rate, now)
         self._level.adapt(
             capacity_rate * self._settings.interval_s,
-            len(self._queue),
+            self._queue.count_from,
             target,
-            self._highest_level(target),
         )
         self._hints.update(len(self._queue), capacity_rate, self._max_wait_s)
 
@@ -325,22 +335,6 @@
         longest = rate * self._max_wait_s * _LONGEST_SHARE
         return max(rate * wait_s, min(bridging, longest))
 
-    def _highest_level(self, target: float) -> int:
-        """Level up to which the queue justifies refusals.
-
-        Calls of higher ranks pass a queue of lower ones, so only the queue
-        of their own rank and above counts for them.
-        """
-        rank = self._queue.lowest_rank
-        if rank is None:
-            return 0
-        top = rank
-        while self._queue.count_from(rank):
-            if self._queue.count_from(rank) > target:
-                top = rank
-            rank += 1
-        return (top + 1) * levels.LEVELS_PER_RANK
-
     def _capacity_rate(self, now: float) -> float | None:
         """Calls that can start in a second; None if it is not known yet."""
         if self._queue and self._rate:
@@ -363,8 +357,12 @@
         node, but never less than the floor from refusals.
         """
         lowest = self._level.value
+        rank = lowest // levels.LEVELS_PER_RANK
         for member in self._board.membership.members.values():
-            if member.state is topics.MemberState.SERVING:
+            serving = member.state is topics.MemberState.SERVING
+            # Only changes by a full rank are pushed: within the same rank
+            # the level in a record may be a second old.
+            if serving and member.level // levels.LEVELS_PER_RANK < rank:
                 lowest = min(lowest, member.level)
         return max(lowest, self._floor.level)
 
--- a/medlardoor/admission/levels.py
+++ b/medlardoor/admission/levels.py
@@ -5,6 +5,7 @@
     (DAGOR).
 """
 
+from collections import abc
 import hashlib
 
 __all__ = ["LEVELS_PER_RANK", "AdmissionLevel", "level_of"]
@@ -25,6 +26,9 @@
 # rank is passed in 8 intervals and each further rank in 2.
 _MAX_STEP_DOWN = 64
 
+# Intervals that the level rests where a whole rank is admitted.
+_BOUNDARY_INTERVALS = 5
+
 # Share of the difference between the queue and its target that is corrected
 # within one interval.
 _QUEUE_GAIN = 0.2
@@ -63,6 +67,7 @@
         self._intervals = 0.0
         self._arrived = 0
         self._step = 1
+        self._held = 0
 
     def record(self, level: int) -> None:
         """Counts one offered call.
@@ -74,7 +79,10 @@
         self._offered[level] = self._offered.get(level, 0.0) + 1.0
 
     def adapt(
-        self, capacity: float, queued: int, target: float, highest: int
+        self,
+        capacity: float,
+        queued_from: abc.Callable[[int], int],
+        target: float,
     ) -> None:
         """Moves the level; called once in each adaptation interval.
 
@@ -83,29 +91,49 @@
         calls that it refused before, here or at the entry, return as soon as
         it falls, and their number is not known.
 
+        Calls pass a queue of lower ranks, so for each rank only the queue of
+        this rank and above counts.
+
         Args:
             capacity: Calls that can start in one interval.
-            queued: Calls that wait now.
+            queued_from: Number of waiting calls of at least the given rank.
             target: Queue length that keeps the upstream busy.
-            highest: Level that is not exceeded by raising, because the
-                queue of calls at or above it is short.
         """
         self._intervals += 1.0
-        room = capacity + (target - queued) * _QUEUE_GAIN
-        fitting = self._level_for(max(capacity * _MIN_ROOM, room))
-        if queued > target:
+        fitting = self._level_for(capacity, queued_from, target)
+        if queued_from(0) > target:
             self._step = 1
-            self.value = max(self.value, min(fitting, highest))
+            self._held = 0
+            self.value = max(self.value, fitting)
         elif fitting < self.value:
-            self.value = max(fitting, self.value - self._step)
-            self._step = min(_MAX_STEP_DOWN, self._step * 2)
+            self._lower(fitting)
         self._forget()
 
-    def _level_for(self, room: float) -> int:
+    def _lower(self, fitting: int) -> None:
+        # At the boundary of a rank, wait until callers and peers have seen
+        # that all of it is admitted; a lower rank would otherwise get in
+        # while calls of this one are still refused elsewhere.
+        boundary = self.value // LEVELS_PER_RANK * LEVELS_PER_RANK
+        if self.value == boundary:
+            if self._held < _BOUNDARY_INTERVALS:
+                self._held += 1
+                return
+            boundary = 0
+        self._held = 0
+        self.value = max(fitting, boundary, self.value - self._step)
+        self._step = min(_MAX_STEP_DOWN, self._step * 2)
+
+    def _level_for(self, capacity, queued_from, target) -> int:
         """Lowest level whose calls at or above it fit into the room."""
-        bound = room * self._intervals
         used = 0.0
+        rank = -1
+        bound = 0.0
         for level in sorted(self._offered, reverse=True):
+            if level // LEVELS_PER_RANK != rank:
+                rank = level // LEVELS_PER_RANK
+                queued = queued_from(rank)
+                room = capacity + (target - queued) * _QUEUE_GAIN
+                bound = max(room, capacity * _MIN_ROOM) * self._intervals
             used += self._offered[level]
             if used > bound:
                 return level + 1
--- a/medlardoor/bench/controlled.py
+++ b/medlardoor/bench/controlled.py
@@ -320,6 +320,7 @@
         member = picked.ok()
         facts = copy.copy(call.context)
         facts.handed_over = False
+        facts.depth += 1
         facts.budget = self._reserve(call)
         on_reply = functools.partial(
             self._child_replied, call, (*tried, member.instance), member
--- a/medlardoor/routing/picker.py
+++ b/medlardoor/routing/picker.py
@@ -8,6 +8,7 @@
 import result
 
 from medlardoor import errors
+from medlardoor.admission import levels
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
 from medlardoor.config import settings as settings_module
@@ -200,7 +201,10 @@
 def _admits(member, call, now) -> bool:
     if now - member.heard_at > _LEVEL_MAX_AGE_S:
         return True
-    return member.level <= call.level
+    # Only changes by a full rank are pushed. Within a rank the level in the
+    # record may be a second old, and the member decides better itself.
+    member_rank = member.level // levels.LEVELS_PER_RANK
+    return member_rank <= call.level // levels.LEVELS_PER_RANK
 
 
 def _refusal(reason, call, retry_after_ms) -> errors.Refusal:
