Count own changes in flight for all nodes that read a record

Cause: at 2 times capacity the queue of one member grew to 52 while another ran 4 of 40 slots. Records are a second old, and all nodes sent their calls to the member that looked idle. The capacity estimate also took the low rate of completions after an idle phase for the capacity. Change: the own change since the record stands for the other nodes too; the rate counts as capacity only after two saturated service times; the level falls at once while slots are idle.

--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -5,6 +5,7 @@
 
 from medlardoor import errors
 from medlardoor.admission import (
+    capacity,
     levels,
     limits,
     queueing,
@@ -27,19 +28,6 @@
     "Start",
 ]
 
-# Part of the allowed wait that the queue is kept below. The rest absorbs
-# bursts shorter than the adaptation of the level.
-_TARGET_SHARE = 0.2
-_MAX_TARGET_WAIT_S = 0.1
-
-# Share of the slots, and of the longest wait, that the queue may reach when
-# the service time is long.
-_TARGET_SLOTS_SHARE = 0.2
-_LONGEST_SHARE = 0.5
-
-# Weight of the newest interval in the mean rate of completions.
-_RATE_WEIGHT = 0.3
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
@@ -134,8 +122,7 @@
         self._running: dict[int, context.CallContext] = {}
         self._drops: list[Drop] = []
         self._adapted_at: float | None = None
-        self._completions = 0
-        self._rate: float | None = None
+        self._capacity = capacity.Capacity(self._times)
         self._max_wait_s = 1.0
 
     def offer(
@@ -285,7 +272,7 @@
 
     def _learn(self, call, completion, now) -> None:
         ok = completion.outcome is errors.Outcome.ANSWERED
-        self._completions += 1
+        self._capacity.completed()
         if ok and not completion.shed:
             self._times.record(call.kind, completion.latency_s, now)
         own_s = max(0.0, completion.latency_s - completion.called_s)
@@ -308,41 +295,19 @@
         return actions
 
     def _adapt(self, elapsed_s: float, now: float) -> None:
-        rate = self._completions / elapsed_s
-        self._completions = 0
-        if self._rate is None:
-            self._rate = rate
-        self._rate += (rate - self._rate) * _RATE_WEIGHT
-        capacity_rate = self._capacity_rate(now)
-        if capacity_rate is None:
+        limit = self._limit.limit(now)
+        queued = len(self._queue)
+        self._capacity.update(limit, queued, elapsed_s, now)
+        rate = self._capacity.rate
+        if rate is None:
             return
-        target = self._target_queue(capacity_rate, now)
         self._level.adapt(
-            capacity_rate * self._settings.interval_s,
+            rate * self._settings.interval_s,
             self._queue.count_from,
-            target,
+            self._capacity.target_queue(self._max_wait_s),
+            self._capacity.is_idle(len(self._running)),
         )
-        self._hints.update(len(self._queue), capacity_rate, self._max_wait_s)
-
-    def _target_queue(self, rate: float, now: float) -> float:
-        """Queue length that bridges random gaps between arrivals.
-
-        A share of the slots does that whatever the service time is; a short
-        fixed wait would be less than one call if the upstream is slow.
-        """
-        wait_s = min(_MAX_TARGET_WAIT_S, self._max_wait_s * _TARGET_SHARE)
-        bridging = self._limit.limit(now) * _TARGET_SLOTS_SHARE
-        longest = rate * self._max_wait_s * _LONGEST_SHARE
-        return max(rate * wait_s, min(bridging, longest))
-
-    def _capacity_rate(self, now: float) -> float | None:
-        """Calls that can start in a second; None if it is not known yet."""
-        if self._queue and self._rate:
-            return self._rate
-        mean_s = self._times.mean_s
-        if not mean_s:
-            return None
-        return max(self._rate or 0.0, self._limit.limit(now) / mean_s)
+        self._hints.update(queued, rate, self._max_wait_s)
 
     def _refuse(self, call, reason) -> Refused:
         return Refused(self.refusal(call, reason))
--- a/medlardoor/admission/levels.py
+++ b/medlardoor/admission/levels.py
@@ -83,13 +83,15 @@
         capacity: float,
         queued_from: abc.Callable[[int], int],
         target: float,
+        idle: bool,
     ) -> None:
         """Moves the level; called once in each adaptation interval.
 
         The level rises only while the queue is longer than its target, and
         falls only while it is not. It falls in growing steps, because the
         calls that it refused before, here or at the entry, return as soon as
-        it falls, and their number is not known.
+        it falls, and their number is not known. If slots are idle it falls at
+        once to where the known calls fit.
 
         Calls pass a queue of lower ranks, so for each rank only the queue of
         this rank and above counts.
@@ -98,6 +100,7 @@
             capacity: Calls that can start in one interval.
             queued_from: Number of waiting calls of at least the given rank.
             target: Queue length that keeps the upstream busy.
+            idle: Whether a good part of the slots is free.
         """
         self._intervals += 1.0
         fitting = self._level_for(capacity, queued_from, target)
@@ -106,10 +109,10 @@
             self._held = 0
             self.value = max(self.value, fitting)
         elif fitting < self.value:
-            self._lower(fitting)
+            self._lower(fitting, idle)
         self._forget()
 
-    def _lower(self, fitting: int) -> None:
+    def _lower(self, fitting: int, idle: bool) -> None:
         # At the boundary of a rank, wait until callers and peers have seen
         # that all of it is admitted; a lower rank would otherwise get in
         # while calls of this one are still refused elsewhere.
@@ -118,9 +121,10 @@
             if self._held < _BOUNDARY_INTERVALS:
                 self._held += 1
                 return
-            boundary = 0
+            boundary -= LEVELS_PER_RANK
         self._held = 0
-        self.value = max(fitting, boundary, self.value - self._step)
+        step = self.value if idle else self._step
+        self.value = max(fitting, boundary, self.value - step)
         self._step = min(_MAX_STEP_DOWN, self._step * 2)
 
     def _level_for(self, capacity, queued_from, target) -> int:
--- a/medlardoor/admission/service_times.py
+++ b/medlardoor/admission/service_times.py
@@ -5,7 +5,7 @@
 __all__ = ["ServiceTimes"]
 
 # Weight of the newest value in the moving mean.
-_WEIGHT = 0.05
+_WEIGHT = 0.02
 
 # Without completions the estimate halves in this time. A slow phase would
 # otherwise leave an estimate above every deadline: nothing would start, and
--- a/medlardoor/bench/callers.py
+++ b/medlardoor/bench/callers.py
@@ -4,7 +4,7 @@
 import functools
 
 from medlardoor import errors
-from medlardoor.bench import fakes
+from medlardoor.bench import fakes, workload
 
 __all__ = ["Callers"]
 
@@ -47,19 +47,19 @@
         for kind in self._world.company.kinds:
             self._schedule(kind)
 
-    def _schedule(self, kind: fakes.KindSpec) -> None:
+    def _schedule(self, kind: workload.KindSpec) -> None:
         simulator = self._world.simulator
         rate = max(1e-6, self._rate(simulator.now) * kind.share)
         gap_s = self._world.generator.expovariate(rate)
         simulator.after(gap_s, self._arrive, kind)
 
-    def _arrive(self, kind: fakes.KindSpec) -> None:
-        request = fakes.Request(kind, self._world.simulator.now)
+    def _arrive(self, kind: workload.KindSpec) -> None:
+        request = workload.Request(kind, self._world.simulator.now)
         self._world.recorder.arrived(request)
         self._attempt(request)
         self._schedule(kind)
 
-    def _attempt(self, request: fakes.Request) -> None:
+    def _attempt(self, request: workload.Request) -> None:
         request.attempts += 1
         instances = list(self._world.instances[request.kind.path[0]])
         self._world.generator.shuffle(instances)
--- a/medlardoor/bench/measures.py
+++ b/medlardoor/bench/measures.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from medlardoor.bench import fakes
+from medlardoor.bench import fakes, workload
 
 __all__ = ["Figures", "Recorder", "Sample"]
 
@@ -84,7 +84,7 @@
         self._world = world
         self._begin_s = begin_s
         self._end_s = end_s
-        self._requests: list[fakes.Request] = []
+        self._requests: list[workload.Request] = []
         self._admitted: dict[int, int] = {}
         self._refused: dict[int, int] = {}
         self._goodput = 0.0
@@ -95,12 +95,12 @@
         """Begins to take samples."""
         self._world.simulator.every(_SAMPLE_S, self._sample)
 
-    def arrived(self, request: fakes.Request) -> None:
+    def arrived(self, request: workload.Request) -> None:
         """Notes a new request."""
         self._arrivals += 1
         self._requests.append(request)
 
-    def answered(self, request: fakes.Request) -> None:
+    def answered(self, request: workload.Request) -> None:
         """Notes the first answer to a request."""
         if request.is_good:
             self._goodput += request.kind.weight
--- a/medlardoor/bench/run.py
+++ b/medlardoor/bench/run.py
@@ -11,7 +11,7 @@
 from cleo import helpers
 from cleo.commands import command as cleo_command
 
-from medlardoor.bench import cases, measures, runner
+from medlardoor.bench import cases, measures, possible, runner
 
 __all__ = ["RunCommand", "main"]
 
@@ -68,7 +68,7 @@
         ),
         Verdict("no disorder", own.disorder == 0),
     ]
-    if cases.top_kind_fits(case):
+    if possible.top_kind_fits(case):
         met = own.top_goodput >= TOP_GOODPUT_TARGET
         verdicts.insert(1, Verdict("top kind >= 99.5 %", met))
     return verdicts
--- a/medlardoor/routing/weights.py
+++ b/medlardoor/routing/weights.py
@@ -12,6 +12,9 @@
 # A member that ramps up gets at least this share, so that its load is seen.
 _MIN_WARMTH = 0.05
 
+# Most nodes that an own request is taken to stand for.
+_MAX_ALIKE = 8.0
+
 
 @dataclasses.dataclass(slots=True)
 class OwnLoad:
@@ -31,9 +34,10 @@
 def load_of(member: topics.Member, own: OwnLoad, now: float) -> float:
     """Requests per slot at a member.
 
-    A fresh record is corrected by what this node has sent since, so that the
-    requests of the next second do not all go to the member that looked idle.
-    An old record is not used: only own requests count.
+    A fresh record is corrected by what this node has sent since. Other nodes
+    read the same record and act alike, so the own change stands for theirs
+    too; otherwise the requests of the next second all go to the member that
+    looked idle. An old record is not used: only own requests count.
 
     Args:
         member: Record of the member.
@@ -48,5 +52,6 @@
         own.heard_at = member.heard_at
         own.at_record = own.in_flight
     reported = member.in_flight + member.queued
-    since = own.in_flight - own.at_record
+    alike = min(_MAX_ALIKE, max(1.0, reported / max(1, own.at_record)))
+    since = (own.in_flight - own.at_record) * alike
     return max(reported + since, own.in_flight) / capacity
