--- a/medlardoor/admin/views.py
+++ b/medlardoor/admin/views.py
@@ -1,5 +1,6 @@
 """State of a node as JSON values of the administration API."""
 
+import dataclasses
 import typing
 
 import anyio
@@ -56,6 +57,7 @@
         "queued": limits.queued,
         "level": limits.effective_level,
         "members": _members(board),
+        "traffic": dataclasses.asdict(board.traffic),
     }
 
 
--- a/medlardoor/blackboard/board.py
+++ b/medlardoor/blackboard/board.py
@@ -23,6 +23,7 @@
         outcomes: Counts and refusals.
         quarantine: Fingerprints under suspicion.
         shutdown: Progress of a planned stop.
+        traffic: Gossip traffic.
     """
 
     instance: str
@@ -46,3 +47,4 @@
     shutdown: topics.Shutdown = dataclasses.field(
         default_factory=topics.Shutdown
     )
+    traffic: topics.Traffic = dataclasses.field(default_factory=topics.Traffic)
--- a/medlardoor/blackboard/topics.py
+++ b/medlardoor/blackboard/topics.py
@@ -25,6 +25,7 @@
     "Quarantine",
     "RecentRefusal",
     "Shutdown",
+    "Traffic",
     "UpstreamState",
 ]
 
@@ -270,6 +271,23 @@
     quarantined: dict[bytes, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Gossip traffic since the start; written by the gossip task.
+
+    Attributes:
+        sent_bytes: Bytes sent in datagrams.
+        received_bytes: Bytes received in datagrams.
+        sent_datagrams: Datagrams sent.
+        malformed: Received datagrams that were dropped as not valid.
+    """
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_datagrams: int = 0
+    malformed: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Shutdown:
     """Progress of a planned stop; written by the drain controller.
--- a/medlardoor/node/gossiping.py
+++ b/medlardoor/node/gossiping.py
@@ -53,18 +53,7 @@
         # Two tasks may not write to the socket at the same moment.
         self._send_lock = anyio.Lock()
         self._stopping: topics.MemberState | None = None
-        self._malformed = 0
-        self._sent_bytes = 0
-
-    @property
-    def malformed(self) -> int:
-        """Datagrams that were dropped because they were not valid."""
-        return self._malformed
-
-    @property
-    def sent_bytes(self) -> int:
-        """Bytes sent since the start."""
-        return self._sent_bytes
+        self._traffic = board.traffic
 
     @property
     def state(self) -> topics.MemberState:
@@ -134,7 +123,8 @@
         data = codec.seal_datagram(message, self._key)
         if self._udp is None or len(data) > codec.MAX_DATAGRAM_BYTES:
             return
-        self._sent_bytes += len(data)
+        self._traffic.sent_bytes += len(data)
+        self._traffic.sent_datagrams += 1
         try:
             async with self._send_lock:
                 await self._udp.sendto(data, host, port)
@@ -158,9 +148,10 @@
             await anyio.sleep(PUBLISH_INTERVAL_S)
 
     async def _receive(self, data: bytes) -> None:
+        self._traffic.received_bytes += len(data)
         opened = codec.open_datagram(data, self._key)
         if opened.is_err():
-            self._malformed += 1
+            self._traffic.malformed += 1
             logs.log_event(
                 _LOG,
                 logbook.WARNING,
