--- /dev/null
+++ b/medlardoor/scenarios/planning.py
@@ -0,0 +1,165 @@
+"""Checks the steps of a scenario and binds them to their functions."""
+
+import dataclasses
+import functools
+import inspect
+import typing
+
+import anyio
+import pydantic
+import result
+
+from medlardoor import errors
+from medlardoor.config import settings as settings_module
+from medlardoor.scenarios import checks, conditions, language, steps
+from medlardoor.scenarios import world as world_module
+
+__all__ = ["PlannedStep", "plan"]
+
+DEFAULT_WAIT_S = 10.0
+
+# Functions by verb and first word; the empty word stands for any other.
+FUNCTIONS: dict[str, dict[str, typing.Callable]] = {
+    "start": {
+        "platform": steps.start_platform,
+        "service": steps.start_service,
+    },
+    "load": {"": steps.start_load},
+    "fault": {
+        "platform": steps.set_platform_fault,
+        "upstream": steps.set_upstream_faults,
+        "": steps.inject_fault,
+    },
+    "promote": {"": steps.promote},
+    "stop": {"": steps.stop},
+    "wait-for": {
+        "serving": conditions.serving,
+        "version": conditions.version,
+        "end": conditions.ended,
+        "attempts": conditions.attempts,
+        "runs": conditions.runs,
+    },
+    "expect": {
+        "orders-run-once": checks.orders_run_once,
+        "answers-match": checks.answers_match,
+        "not-run-is-true": checks.not_run_is_true,
+        "retries-bounded": checks.retries_bounded,
+        "refused-by-rank": checks.refused_by_rank,
+        "no-new-work": checks.no_new_work,
+        "runs-completed": checks.runs_completed,
+        "versions-in-force": checks.versions_in_force,
+        "share": checks.outcome_share,
+    },
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedStep:
+    """A step with checked options.
+
+    Attributes:
+        line: Line of the step.
+        verb: What to do.
+        function: Does it; takes the world, a condition too, or the evidence.
+        within_s: Longest wait for a condition.
+    """
+
+    line: int
+    verb: str
+    function: typing.Callable
+    within_s: float
+
+    async def run(
+        self, world: world_module.World
+    ) -> result.Result[str, errors.Failure]:
+        """Does the step."""
+        if self.verb == "expect":
+            return self.function(world.evidence())
+        if self.verb == "wait-for":
+            return await self._wait(world)
+        return await self.function(world)
+
+    async def _wait(self, world):
+        seen = self.function(world)
+        with anyio.move_on_after(self.within_s):
+            while seen.is_err():
+                await anyio.sleep(world_module.POLL_S)
+                seen = self.function(world)
+        return seen
+
+
+def plan(
+    text: str, source: str
+) -> result.Result[list[PlannedStep], errors.InvalidInput]:
+    """Checks all steps of a scenario before any of them runs.
+
+    Args:
+        text: Content of the file.
+        source: Name of the file, for the failure.
+    """
+    parsed = language.parse(text, source)
+    if parsed.is_err():
+        return parsed
+    planned = [_bind(step) for step in parsed.unwrap()]
+    faults = tuple(p.unwrap_err() for p in planned if p.is_err())
+    if faults:
+        return result.Err(errors.InvalidInput(source, faults))
+    return result.Ok([p.unwrap() for p in planned])
+
+
+def _bind(step: language.Step) -> result.Result[PlannedStep, errors.Fault]:
+    functions = FUNCTIONS[step.verb]
+    words = list(step.words)
+    function = functions.get("")
+    if words and words[0] in functions:
+        function = functions[words.pop(0)]
+    if function is None:
+        known = ", ".join(functions)
+        return result.Err(_fault(step, f"one of {known} after {step.verb}"))
+    options = dict(step.options)
+    within_s = DEFAULT_WAIT_S
+    if step.verb == "wait-for":
+        within_s = float(options.pop("within_s", DEFAULT_WAIT_S))
+    bound = _bind_options(function, words, options)
+    return bound.map(
+        lambda ready: PlannedStep(step.line, step.verb, ready, within_s)
+    ).map_err(lambda expected: _fault(step, expected))
+
+
+def _bind_options(function, words, options) -> result.Result:
+    parameters = list(inspect.signature(function).parameters.values())[1:]
+    whole = len(parameters) == 1 and inspect.isclass(parameters[0].annotation)
+    whole = whole and issubclass(
+        parameters[0].annotation, settings_module.Settings
+    )
+    model = parameters[0].annotation if whole else _model_of(parameters)
+    names = list(model.model_fields)
+    if len(words) > len(names):
+        return result.Err(f"no word {words[len(names)]}")
+    named = dict(zip(names, words, strict=False))
+    try:
+        checked = model.model_validate({**options, **named})
+    except pydantic.ValidationError as error:
+        rows = [
+            f"{'.'.join(map(str, row['loc']))}: {row['msg']}"
+            for row in error.errors()
+        ]
+        return result.Err("; ".join(rows))
+    if whole:
+        return result.Ok(functools.partial(function, options=checked))
+    return result.Ok(functools.partial(function, **checked.model_dump()))
+
+
+def _model_of(parameters: list[inspect.Parameter]) -> type[pydantic.BaseModel]:
+    """Model that checks options against the parameters of a function."""
+    fields = {
+        p.name: (p.annotation, ... if p.default is p.empty else p.default)
+        for p in parameters
+    }
+    return pydantic.create_model(
+        "Options", __base__=settings_module.Settings, **fields
+    )
+
+
+def _fault(step: language.Step, expected: str) -> errors.Fault:
+    return errors.Fault("$", step.line, expected)
