--- a/medlardoor/adoption/controller.py
+++ b/medlardoor/adoption/controller.py
@@ -200,8 +200,6 @@
         self._topic.version = version
         self._topic.value = value
         self._topic.digest = hashlib.sha256(value).digest()
-        # A confirmation of an older version says nothing about this one.
-        self._topic.confirmed_at = None
         self._attempt = None
         if self._seen_version > version:
             self._seen_at = now
--- a/medlardoor/membership/gossip.py
+++ b/medlardoor/membership/gossip.py
@@ -30,8 +30,8 @@
 # judgements are then false suspicions.
 _PROBE_AFTER_S = 2.0
 _MAX_PROBES = 3
-# Up to this size one complete exchange a second suffices; see gossip_slopes.
-_MAX_SMALL_GROUP = 32
+# Smaller groups do without two exchanges, larger ones would send 6 KB a second.
+_TWO_EXCHANGES = range(33, 97)
 
 
 class GossipController:
@@ -270,7 +270,7 @@
         """Digests to random members of the own group."""
         live = self._group.live_addresses(now)
         chosen = messages.sample(self._random, live, self._settings.fanout)
-        full = len(chosen) if len(live) > _MAX_SMALL_GROUP else 1
+        full = 2 if len(live) in _TWO_EXCHANGES else 1
         complete, short = chosen[:full], chosen[full:]
         silent = [
             *self._group.lost_addresses(now),
--- a/medlardoor/membership/group.py
+++ b/medlardoor/membership/group.py
@@ -14,9 +14,11 @@
 
 __all__ = ["Address", "Difference", "MemberGroup"]
 
-# Each change is relayed this many times the logarithm of the group's size,
-# which reaches all members of a group with high probability.
-_RELAYS_PER_DOUBLING = 2
+# A change is relayed once for each doubling of the group's size, which reaches
+# nearly all members; the rest learn it in turn.
+# A new member is relayed less often: answers to heartbeat lists bring it to
+# those that miss it.
+_NEW_MEMBER_RELAYS = 2
 _MAX_TOMBSTONES = 512
 # Longer than regions are expected to lose contact with each other.
 _TOMBSTONE_S = 7_200.0
@@ -345,7 +347,7 @@
         # Two members with one hash are left to their full records.
         if self._by_identity.setdefault(entry.identity, entry) is not entry:
             del self._by_identity[entry.identity]
-        entry.relays = self._relay_count()
+        entry.relays = _NEW_MEMBER_RELAYS
 
     def _remove(self, entry: entries_module.Entry, now: float) -> None:
         instance = entry.member.instance
@@ -366,7 +368,7 @@
         return tombstone.member if tombstone else None
 
     def _relay_count(self) -> int:
-        return _RELAYS_PER_DOUBLING * (len(self._entries) + 2).bit_length()
+        return (len(self._entries) + 2).bit_length()
 
 
 def _heartbeat(entry: entries_module.Entry) -> heartbeats_module.Heartbeat:
--- a/medlardoor/membership/heartbeats.py
+++ b/medlardoor/membership/heartbeats.py
@@ -15,8 +15,9 @@
     "unpack",
 ]
 
-# Largest number in one digest: 512 of its 1,400 bytes.
-MAX_HEARTBEATS = 64
+# Largest number in one digest: 896 of its 1,400 bytes, which leaves room for
+# the own record and two changed ones.
+MAX_HEARTBEATS = 112
 _HEARTBEAT = struct.Struct("<II")
 _MAX_COUNTER = 2**32 - 1
 
--- a/medlardoor/membership/tests/test_directory.py
+++ b/medlardoor/membership/tests/test_directory.py
@@ -185,3 +185,17 @@
         del service.net.nodes[port]
     await service.run(200)
     assert len(service.listed()) == 3
+
+
+async def test_writes_are_spaced_while_membership_changes():
+    """Restarts in quick succession cause a write each."""
+    service = _Service(2)
+    await service.run(10)
+    before = service.updates()
+    for incarnation in range(2, 22):
+        again = network.node(2, incarnation)
+        service.add(again)
+        seeds = [network.address(service.net.nodes[1])]
+        service.net.deliver(again, again.join(seeds, service.net.now))
+        await service.run(1)
+    assert 5 <= service.updates() - before <= 11
--- a/medlardoor/standins/tests/test_platform.py
+++ b/medlardoor/standins/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket
 import subprocess
 import sys
 
@@ -133,3 +134,20 @@
             await store.watch("a", 0, 0.01)
         assert counts[1]["total"] - counts[0]["total"] == 2
         assert counts[1]["watches"] - counts[0]["watches"] == 1
+
+
+async def test_unreachable_platform_is_a_failure_not_an_exception():
+    """A refused connection ends the task that made the call."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        url = f"http://127.0.0.1:{unused.getsockname()[1]}"
+        store = http.HttpObjectStore(settings.StoreSettings(url=url))
+        answers = [
+            await store.read("a"),
+            await store.update("a", b"1", 0),
+            await store.watch("a", 0, 1.0),
+            await store.list("a"),
+        ]
+        await store.aclose()
+    for answer in answers:
+        assert isinstance(answer.err_value, errors.StoreUnavailable)
