--- a/medlardoor/adoption/controller.py
+++ b/medlardoor/adoption/controller.py
@@ -28,7 +28,6 @@
     "Rejected",
 ]
 
-_WATCHERS = 2
 # A document is fetched in milliseconds; a peer that takes longer is probably
 # gone.
 _FETCH_TIMEOUT_S = 1.0
@@ -174,14 +173,27 @@
         return None
 
     def is_watcher(self, now: float) -> bool:
-        """Whether this node is one of the two lowest live members."""
-        own = self._gossip.own.instance
-        lower = sum(
-            member.instance < own
+        """Whether this node is one of the two watchers of its service.
+
+        They are the live member with the lowest id and the lowest one of
+        another failure domain, so that one domain that is cut off from the
+        platform does not hold both.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        own = self._gossip.own
+        members = [
+            (member.instance, member.failure_domain)
             for member in self._gossip.live_members(now)
             if member.state < topics.MemberState.LEAVING
-        )
-        return lower < _WATCHERS
+        ]
+        members.append((own.instance, own.failure_domain))
+        members.sort()
+        first, first_domain = members[0]
+        elsewhere = [m for m in members[1:] if m[1] != first_domain]
+        second = (elsewhere or members[1:])[:1]
+        return own.instance == first or own.instance in [m[0] for m in second]
 
     def offer(
         self, version: int, value: bytes, now: float
@@ -204,8 +216,6 @@
         self._topic.version = version
         self._topic.value = value
         self._topic.digest = hashlib.sha256(value).digest()
-        # A confirmation of an older version says nothing about this one.
-        self._topic.confirmed_at = None
         self._attempt = None
         if self._seen_version > version:
             self._seen_at = now
--- a/medlardoor/adoption/tests/test_controller.py
+++ b/medlardoor/adoption/tests/test_controller.py
@@ -45,7 +45,7 @@
             limits, self.board, random.Random(1), self.gossip, Parser()
         )
 
-    def hear(self, instance, version, now):
+    def hear(self, instance, version, now, failure_domain=""):
         """Receives the record of another member."""
         known = self.board.membership.members.get(instance)
         beat = known.heartbeat + 1 if known else 1
@@ -59,6 +59,7 @@
             gossip_port=2,
             process_id=instance,
             document_version=version,
+            failure_domain=failure_domain,
         )
         digest = ttypes.Digest("order", instance, 1, beat, [record], False)
         self.gossip.receive(digest, now)
@@ -192,3 +193,13 @@
     for node in (lone, connected):
         node.adoption.tick(60.0)
         assert node.adoption.phase is PHASE.IN_FORCE
+
+
+def test_watchers_are_in_two_failure_domains():
+    """A domain cut off from the platform holds both watchers of a service."""
+    node = Node("order-2")
+    node.gossip.own.failure_domain = "a"
+    node.hear("order-1", 1, 1.0, "a")
+    assert node.adoption.is_watcher(1.0)
+    node.hear("order-3", 1, 1.0, "b")
+    assert not node.adoption.is_watcher(1.0)
