Take quick answers as probes and ramp up faster at first

Cause: with reports every 5 s the limit fell to a tenth each time a report got old, although requests were answered; requests from before a window counted as proven concurrency; a linear ramp kept a cold upstream idle; one burst at 10 requests a second refused orders. Change: an answer within 2 s is a probe; proven concurrency from the requests of the window; square-root ramp; service times with a time constant of 1 s; smaller correction of the level by the queue.

--- a/medlardoor/admission/levels.py
+++ b/medlardoor/admission/levels.py
@@ -31,12 +31,12 @@
 
 # Share of the difference between the queue and its target that is corrected
 # within one interval.
-_QUEUE_GAIN = 0.2
+_QUEUE_GAIN = 0.1
 
 # A queue, however long, leaves this share of the capacity to new calls. With
 # less, one burst of unimportant calls raises the level above important ones,
 # although those fit and would pass the burst in the queue.
-_MIN_ROOM = 0.7
+_MIN_ROOM = 0.8
 
 
 def level_of(rank: int, chain_id: bytes) -> int:
--- a/medlardoor/admission/limits.py
+++ b/medlardoor/admission/limits.py
@@ -30,9 +30,13 @@
 # A limit counts as in use when this share of it was reached in the window.
 _IN_USE_SHARE = 0.9
 
-# Room above the concurrency that the upstream runs without queueing.
+# Room above the work that the upstream does at a time.
 _HEADROOM = 1.1
 
+# Room above the proven concurrency. The proven value is a mean: in the same
+# windows, up to a quarter more requests were running at times.
+_PROVEN_HEADROOM = 1.25
+
 
 class ConcurrencyLimit(abc.ABC):
     """How many requests may run on the local upstream at a time."""
@@ -138,9 +142,10 @@
         if not ok:
             return
         began_at = now - latency_s
-        if self._report_is_old(began_at):
-            # The request was dispatched on distrust and came back: it is the
-            # successful probe that section 2.6 asks for.
+        if self._report_is_old(began_at) or latency_s <= REPORT_MAX_AGE_S:
+            # A quick answer, or one to a request that was dispatched on
+            # distrust, is the successful probe that section 2.6 asks for. An
+            # answer that took longer may have waited while this node paused.
             self._proven_at = now
         self._baselines.record(kind, latency_s, now, self._congested)
         self._held_s += latency_s
@@ -176,7 +181,9 @@
         if age >= ramp_s:
             return 100
         cold = self._settings.cold_share
-        share = cold + (1.0 - cold) * max(0.0, age) / ramp_s
+        # Upstreams warm up with the requests that they run, so the ramp is
+        # steeper at first, when few of them would hold a linear ramp back.
+        share = cold + (1.0 - cold) * math.sqrt(max(0.0, age) / ramp_s)
         return int(100 * share)
 
     def _adapt(self, ratio: float, now: float) -> None:
@@ -193,7 +200,7 @@
                 self._grow()
             return
         is_high = ratio > self._settings.latency_factor
-        bound = self._proven.highest * _HEADROOM
+        bound = self._proven.highest * _PROVEN_HEADROOM
         # Below the limit, with few requests at a time, a ratio of 1.3 is
         # within the noise of service times.
         if self._peak > bound and (in_use or is_high):
@@ -214,13 +221,18 @@
         return now - self._window_at >= _MIN_LATENCIES * mean_s
 
     def _completed_concurrency(self, now: float) -> float:
-        """Mean concurrency of the requests that ended in the window.
+        """Mean concurrency of the requests of the window.
 
         The present concurrency proves nothing: while the load rises, the
         requests that wait in the upstream have not shown their latency yet.
+        Requests from before the window do not count, and those that began
+        within the last latency have not ended, so the window is shorter for
+        this purpose.
         """
-        elapsed_s = now - self._window_at
-        return min(float(self._peak), self._held_s / elapsed_s)
+        held_s = sum(latency_s for _, latency_s in self._samples)
+        mean_s = held_s / len(self._samples)
+        elapsed_s = max(mean_s, now - self._window_at - mean_s)
+        return min(float(self._peak), held_s / elapsed_s)
 
     def _grow(self) -> None:
         grown = self._adaptive + max(1.0, math.sqrt(self._adaptive))
--- a/medlardoor/admission/service_times.py
+++ b/medlardoor/admission/service_times.py
@@ -1,11 +1,16 @@
 """Recent service time of each kind."""
 
 import dataclasses
+import math
 
 __all__ = ["ServiceTimes"]
 
-# Weight of the newest value in the moving mean.
-_WEIGHT = 0.02
+# Time constant of the moving means. They cannot follow single values: with
+# few requests a second, a fixed weight would remember a slow phase for long.
+_MEMORY_S = 1.0
+
+# Weight of one value at most, so that a mean always holds several.
+_MAX_WEIGHT = 0.15
 
 # Without completions the estimate halves in this time. A slow phase would
 # otherwise leave an estimate above every deadline: nothing would start, and
@@ -25,6 +30,7 @@
     def __init__(self):
         self._kinds: dict[str, _Estimate] = {}
         self._mean_s: float | None = None
+        self._recorded_at = 0.0
 
     @property
     def mean_s(self) -> float | None:
@@ -41,13 +47,17 @@
         """
         if self._mean_s is None:
             self._mean_s = latency_s
-        self._mean_s += (latency_s - self._mean_s) * _WEIGHT
+            self._recorded_at = now
+        weight = _weight(now - self._recorded_at)
+        self._mean_s += (latency_s - self._mean_s) * weight
+        self._recorded_at = now
         estimate = self._kinds.get(kind)
         if estimate is None:
             self._kinds[kind] = _Estimate(latency_s, now)
             return
         mean_s = self.expected(kind, now)
-        estimate.mean_s = mean_s + (latency_s - mean_s) * _WEIGHT
+        weight = _weight(now - estimate.updated_at)
+        estimate.mean_s = mean_s + (latency_s - mean_s) * weight
         estimate.updated_at = now
 
     def expected(self, kind: str, now: float) -> float:
@@ -64,3 +74,7 @@
         if idle_s <= 0:
             return estimate.mean_s
         return estimate.mean_s * 0.5 ** (idle_s / _HALF_LIFE_S)
+
+
+def _weight(elapsed_s: float) -> float:
+    return min(_MAX_WEIGHT, -math.expm1(-elapsed_s / _MEMORY_S))
