Lower the level while slots are idle

Change: idle slots lower the level whatever the estimate says; proven concurrency gets room for random arrivals; shorter rest at rank boundaries.

--- a/medlardoor/admission/levels.py
+++ b/medlardoor/admission/levels.py
@@ -27,7 +27,7 @@
 _MAX_STEP_DOWN = 64
 
 # Intervals that the level rests where a whole rank is admitted.
-_BOUNDARY_INTERVALS = 5
+_BOUNDARY_INTERVALS = 3
 
 # Share of the difference between the queue and its target that is corrected
 # within one interval.
@@ -108,7 +108,7 @@
             self._step = 1
             self._held = 0
             self.value = max(self.value, fitting)
-        elif fitting < self.value:
+        elif idle or fitting < self.value:
             self._lower(fitting, idle)
         self._forget()
 
@@ -123,8 +123,11 @@
                 return
             boundary -= LEVELS_PER_RANK
         self._held = 0
-        step = self.value if idle else self._step
-        self.value = max(fitting, boundary, self.value - step)
+        lowered = self.value - self._step
+        # Idle slots prove that more fits, even if the capacity looks smaller
+        # because slow calls of the past are still ending.
+        fits = min(fitting, lowered) if idle else max(fitting, lowered)
+        self.value = max(fits, boundary, 0)
         self._step = min(_MAX_STEP_DOWN, self._step * 2)
 
     def _level_for(self, capacity, queued_from, target) -> int:
--- a/medlardoor/admission/limits.py
+++ b/medlardoor/admission/limits.py
@@ -33,9 +33,10 @@
 # Room above the work that the upstream does at a time.
 _HEADROOM = 1.1
 
-# Room above the proven concurrency. The proven value is a mean: in the same
-# windows, up to a quarter more requests were running at times.
-_PROVEN_HEADROOM = 1.25
+# Room above the proven concurrency, as a multiple of its square root. The
+# proven value is a mean, and random arrivals vary by about its root: so many
+# requests were running in the same windows at times.
+_PROVEN_SPREAD = 1.5
 
 
 class ConcurrencyLimit(abc.ABC):
@@ -200,10 +201,12 @@
                 self._grow()
             return
         is_high = ratio > self._settings.latency_factor
-        bound = self._proven.highest * _PROVEN_HEADROOM
+        proven_mean = self._proven.highest
+        spread = _PROVEN_SPREAD * math.sqrt(proven_mean)
+        bound = (proven_mean + spread) * _HEADROOM
         # Below the limit, with few requests at a time, a ratio of 1.3 is
         # within the noise of service times.
-        if self._peak > bound and (in_use or is_high):
+        if self._peak > bound + 1 and (in_use or is_high):
             self._lower(ratio, bound)
         elif is_high:
             self._accept_slowness(ratio)
