--- a/medlardoor/bench/callers.py
+++ b/medlardoor/bench/callers.py
@@ -61,8 +61,9 @@
 
     def _attempt(self, request: workload.Request) -> None:
         request.attempts += 1
-        instances = list(self._world.instances[request.kind.path[0]])
-        self._world.generator.shuffle(instances)
+        known = self._world.instances[request.kind.path[0]]
+        first = int(self._world.generator.random() * len(known))
+        instances = known[first:] + known[:first]
         deadline = self._world.simulator.now + request.kind.timeout_s
         self._send(request, instances, deadline)
 
--- a/medlardoor/bench/controlled.py
+++ b/medlardoor/bench/controlled.py
@@ -120,13 +120,11 @@
     def admit(self, call: fakes.Call) -> None:
         """Runs, queues, forwards or refuses a call."""
         now = self._world.simulator.now
-        received = call.context
-        if received is None:
-            received = self._root(call)
+        if call.context is None:
+            call.context = self._root(call)
+        facts = call.context
         self._identifier += 1
-        facts = copy.copy(received)
         facts.call_id = self._identifier
-        call.context = facts
         self._calls[facts.call_id] = call
         self._budgets[facts.call_id] = budget_module.RetryBudget(facts.budget)
         if call.hop == 0 and not facts.handed_over:
