--- a/medlardoor/bench/run.py
+++ b/medlardoor/bench/run.py
@@ -50,6 +50,7 @@
     others = [
         f for v, f in figures.items() if v is not runner.Variant.MEDLARDOOR
     ]
+    budget = max(kind.retry_budget for kind in case.company.kinds)
     verdicts = [
         Verdict("goodput >= 95 %", own.goodput >= GOODPUT_TARGET),
         Verdict("recovery <= 2 s", own.recovery_s <= RECOVERY_TARGET_S),
@@ -67,6 +68,7 @@
             all(own.recovery_s <= f.recovery_s for f in others),
         ),
         Verdict("no disorder", own.disorder == 0),
+        Verdict("retries within the budget", own.retries_most <= budget),
     ]
     if possible.top_kind_fits(case):
         met = own.top_goodput >= TOP_GOODPUT_TARGET
