Forward refused calls only to peers with a lower level

Cause: with records compared by full ranks, refused calls were forwarded twice to peers that refused them as well. Change: among peers of the own service the level itself is compared.

--- a/medlardoor/admission/queueing.py
+++ b/medlardoor/admission/queueing.py
@@ -57,12 +57,6 @@
             return None
         return self._entries[-1].call.rank
 
-    def oldest_wait(self, now: float) -> float:
-        """Longest time that any entry has waited, in seconds."""
-        if not self._entries:
-            return 0.0
-        return now - min(e.queued_at for e in self._entries)
-
     def count_from(self, rank: int) -> int:
         """Number of entries of at least this rank."""
         return bisect.bisect_left(self._entries, (-rank + 1,), key=_key)
--- a/medlardoor/routing/picker.py
+++ b/medlardoor/routing/picker.py
@@ -106,7 +106,8 @@
         untried = [m for m in members if m.instance not in exclude]
         if not untried:
             return result.Err(_refusal(errors.Reason.NO_UPSTREAM, call, 0))
-        open_members = [m for m in untried if _admits(m, call, now)]
+        is_peer = service == self._board.service
+        open_members = [m for m in untried if _admits(m, call, is_peer, now)]
         if not open_members:
             refusal = _refusal(errors.Reason.OVERLOAD, call, _OVERLOAD_HINT_MS)
             return result.Err(refusal)
@@ -198,9 +199,12 @@
         return own
 
 
-def _admits(member, call, now) -> bool:
+def _admits(member, call, is_peer, now) -> bool:
     if now - member.heard_at > _LEVEL_MAX_AGE_S:
         return True
+    if is_peer:
+        # The own node has refused the call: only a lower level helps.
+        return member.level <= call.level
     # Only changes by a full rank are pushed. Within a rank the level in the
     # record may be a second old, and the member decides better itself.
     member_rank = member.level // levels.LEVELS_PER_RANK
--- a/medlardoor/routing/tests/test_picker.py
+++ b/medlardoor/routing/tests/test_picker.py
@@ -16,10 +16,10 @@
 CALL = context.CallContext(bytes(16), 1, "t", "k", 1, 200, 100.0)
 
 
-def _picker(count=3, **changes):
-    board = board_module.Blackboard("calculator-1", "calculator", "a")
+def _picker(count=3, own_service="calculator", **changes):
+    board = board_module.Blackboard("own-1", own_service, "a")
     fields = {"slots": 40, "state": SERVING} | changes
-    board.membership.services["inventory"] = {
+    members = {
         f"inventory-{i}": topics.Member(
             f"inventory-{i}",
             "inventory",
@@ -29,9 +29,11 @@
         )
         for i in range(count)
     }
+    board.membership.services["inventory"] = members
+    board.membership.members = members
     settings = settings_module.GossipSettings()
     picker = picker_module.PowerOfTwoPicker(settings, board, random.Random(1))
-    return picker, board.membership.services["inventory"]
+    return picker, members
 
 
 def _pick(picker, now=0.0, exclude=()):
@@ -113,3 +115,14 @@
     assert _pick(picker).instance == "inventory-2"
     refused = picker.pick("inventory", CALL, members, 0.0).err()
     assert refused.reason is errors.Reason.NO_UPSTREAM
+
+
+def test_peers_need_a_lower_level():
+    """Refused calls that are forwarded to peers which refuse them too."""
+    picker, members = _picker(level=201)
+    assert _pick(picker) is not None
+    picker, members = _picker(own_service="inventory", level=201)
+    refused = picker.pick("inventory", CALL, (), 0.0).err()
+    assert refused.reason is errors.Reason.OVERLOAD
+    members["inventory-2"].level = 200
+    assert _pick(picker).instance == "inventory-2"
