Judge high latency without waiting for a whole window

Change: a ratio above the factor is judged as soon as there are 20 samples, because short windows only make it look lower.

--- a/medlardoor/admission/limits.py
+++ b/medlardoor/admission/limits.py
@@ -19,6 +19,9 @@
 # that vary as much as their mean is off by more than a quarter.
 _MIN_SAMPLES = 20
 
+# Newest completions that are compared, which bounds the time of one tick.
+_MAX_SAMPLES = 500
+
 # Length of a window at least, as a multiple of the mean latency.
 _MIN_LATENCIES = 2.0
 
@@ -162,9 +165,11 @@
             self._shrink()
             self._open_window(now)
             return
-        if not self._is_complete(now):
+        if len(self._samples) < _MIN_SAMPLES:
             return
         ratio = self._baselines.ratio(self._samples) / self._slowdown
+        if not self._is_conclusive(ratio, now):
+            return
         if self.warmth_percent(now) == 100:
             self._adapt(ratio, now)
         self._open_window(now)
@@ -211,15 +216,15 @@
         elif is_high:
             self._accept_slowness(ratio)
 
-    def _is_complete(self, now: float) -> bool:
-        """Whether the window is long enough to be judged.
+    def _is_conclusive(self, ratio: float, now: float) -> bool:
+        """Whether the window can be judged.
 
         Only requests that both begin and end in the window are compared. In
-        a window as short as one latency these are the fast ones, and
-        queueing would not be seen.
+        a window as short as one latency these are the fast ones: a low ratio
+        means nothing yet, while a high one is even higher in truth.
         """
-        if len(self._samples) < _MIN_SAMPLES:
-            return False
+        if ratio > self._settings.latency_factor:
+            return True
         mean_s = self._held_s / self._ended
         return now - self._window_at >= _MIN_LATENCIES * mean_s
 
@@ -270,7 +275,9 @@
         # Requests that began before the last change still show its effect
         # and are not counted in the new window.
         self._window_at = now
-        self._samples: collections.deque = collections.deque(maxlen=2_000)
+        self._samples: collections.deque = collections.deque(
+            maxlen=_MAX_SAMPLES
+        )
         self._peak = 0
         self._held_s = 0.0
         self._ended = 0
