--- a/medlardoor/admission/limits.py
+++ b/medlardoor/admission/limits.py
@@ -19,6 +19,9 @@
 # that vary as much as their mean is off by more than a quarter.
 _MIN_SAMPLES = 20
 
+# Newest completions that are compared, which bounds the time of one tick.
+_MAX_SAMPLES = 500
+
 # Length of a window at least, as a multiple of the mean latency.
 _MIN_LATENCIES = 2.0
 
@@ -30,9 +33,14 @@
 # A limit counts as in use when this share of it was reached in the window.
 _IN_USE_SHARE = 0.9
 
-# Room above the concurrency that the upstream runs without queueing.
+# Room above the work that the upstream does at a time.
 _HEADROOM = 1.1
 
+# Room above the proven concurrency, as a multiple of its square root. The
+# proven value is a mean, and random arrivals vary by about its root: so many
+# requests were running in the same windows at times.
+_PROVEN_SPREAD = 1.5
+
 
 class ConcurrencyLimit(abc.ABC):
     """How many requests may run on the local upstream at a time."""
@@ -138,9 +146,10 @@
         if not ok:
             return
         began_at = now - latency_s
-        if self._report_is_old(began_at):
-            # The request was dispatched on distrust and came back: it is the
-            # successful probe that section 2.6 asks for.
+        if self._report_is_old(began_at) or latency_s <= REPORT_MAX_AGE_S:
+            # A quick answer, or one to a request that was dispatched on
+            # distrust, is the successful probe that section 2.6 asks for. An
+            # answer that took longer may have waited while this node paused.
             self._proven_at = now
         self._baselines.record(kind, latency_s, now, self._congested)
         self._held_s += latency_s
@@ -156,9 +165,11 @@
             self._shrink()
             self._open_window(now)
             return
-        if not self._is_complete(now):
+        if len(self._samples) < _MIN_SAMPLES:
             return
         ratio = self._baselines.ratio(self._samples) / self._slowdown
+        if not self._is_conclusive(ratio, now):
+            return
         if self.warmth_percent(now) == 100:
             self._adapt(ratio, now)
         self._open_window(now)
@@ -176,7 +187,9 @@
         if age >= ramp_s:
             return 100
         cold = self._settings.cold_share
-        share = cold + (1.0 - cold) * max(0.0, age) / ramp_s
+        # Upstreams warm up with the requests that they run, so the ramp is
+        # steeper at first, when few of them would hold a linear ramp back.
+        share = cold + (1.0 - cold) * math.sqrt(max(0.0, age) / ramp_s)
         return int(100 * share)
 
     def _adapt(self, ratio: float, now: float) -> None:
@@ -193,34 +206,41 @@
                 self._grow()
             return
         is_high = ratio > self._settings.latency_factor
-        bound = self._proven.highest * _HEADROOM
+        proven_mean = self._proven.highest
+        spread = _PROVEN_SPREAD * math.sqrt(proven_mean)
+        bound = (proven_mean + spread) * _HEADROOM
         # Below the limit, with few requests at a time, a ratio of 1.3 is
         # within the noise of service times.
-        if self._peak > bound and (in_use or is_high):
+        if self._peak > bound + 1 and (in_use or is_high):
             self._lower(ratio, bound)
         elif is_high:
             self._accept_slowness(ratio)
 
-    def _is_complete(self, now: float) -> bool:
-        """Whether the window is long enough to be judged.
+    def _is_conclusive(self, ratio: float, now: float) -> bool:
+        """Whether the window can be judged.
 
         Only requests that both begin and end in the window are compared. In
-        a window as short as one latency these are the fast ones, and
-        queueing would not be seen.
+        a window as short as one latency these are the fast ones: a low ratio
+        means nothing yet, while a high one is even higher in truth.
         """
-        if len(self._samples) < _MIN_SAMPLES:
-            return False
+        if ratio > self._settings.latency_factor:
+            return True
         mean_s = self._held_s / self._ended
         return now - self._window_at >= _MIN_LATENCIES * mean_s
 
     def _completed_concurrency(self, now: float) -> float:
-        """Mean concurrency of the requests that ended in the window.
+        """Mean concurrency of the requests of the window.
 
         The present concurrency proves nothing: while the load rises, the
         requests that wait in the upstream have not shown their latency yet.
+        Requests from before the window do not count, and those that began
+        within the last latency have not ended, so the window is shorter for
+        this purpose.
         """
-        elapsed_s = now - self._window_at
-        return min(float(self._peak), self._held_s / elapsed_s)
+        held_s = sum(latency_s for _, latency_s in self._samples)
+        mean_s = held_s / len(self._samples)
+        elapsed_s = max(mean_s, now - self._window_at - mean_s)
+        return min(float(self._peak), held_s / elapsed_s)
 
     def _grow(self) -> None:
         grown = self._adaptive + max(1.0, math.sqrt(self._adaptive))
@@ -255,7 +275,9 @@
         # Requests that began before the last change still show its effect
         # and are not counted in the new window.
         self._window_at = now
-        self._samples: collections.deque = collections.deque(maxlen=2_000)
+        self._samples: collections.deque = collections.deque(
+            maxlen=_MAX_SAMPLES
+        )
         self._peak = 0
         self._held_s = 0.0
         self._ended = 0
