Restore faults of restarted upstreams; shorten the runner

Cause: an upstream that was started again after a crash had lost its egress address and its faults, so a crashing request succeeded there. Runner, steps and language were longer than needed.

Change: the world sets both after each start.

--- a/medlardoor/scenarios/checks.py
+++ b/medlardoor/scenarios/checks.py
@@ -19,7 +19,7 @@
     "no_new_work",
     "not_run_is_true",
     "orders_run_once",
-    "outcome_share",
+    "share",
     "refused_by_rank",
     "retries_bounded",
     "runs_completed",
@@ -241,7 +241,7 @@
     return _judge("versions-in-force", found, len(evidence.versions))
 
 
-def outcome_share(
+def share(
     evidence: evidence_module.Evidence,
     kind: str = "",
     outcome: str = WHOLE,
@@ -269,8 +269,7 @@
     counted = [
         r for r in requests if r.outcome == outcome and reason in ("", r.reason)
     ]
-    share = len(counted) / max(len(requests), 1)
     found = []
-    if not lowest <= share <= highest:
+    if not lowest <= len(counted) / max(len(requests), 1) <= highest:
         found.append(f"{len(counted)} of {len(requests)} {outcome}")
     return _judge("share", found, len(requests))
--- a/medlardoor/scenarios/conditions.py
+++ b/medlardoor/scenarios/conditions.py
@@ -6,7 +6,7 @@
 
 from medlardoor.scenarios import world as world_module
 
-__all__ = ["attempts", "ended", "runs", "serving", "version"]
+__all__ = ["attempts", "end", "runs", "serving", "version"]
 
 Seen = result.Result[str, world_module.Observation]
 
@@ -43,7 +43,7 @@
     return result.Ok("")
 
 
-def ended(world: world_module.World, target: str) -> Seen:
+def end(world: world_module.World, target: str) -> Seen:
     """A process has ended by itself with status 0."""
     process = world.processes.get(target)
     if process is None or process.exit_status != 0:
--- a/medlardoor/scenarios/evidence.py
+++ b/medlardoor/scenarios/evidence.py
@@ -16,6 +16,7 @@
     "Request",
     "Run",
     "VersionSample",
+    "read_all",
     "read_load",
     "read_runs",
 ]
@@ -166,3 +167,15 @@
         began_at = at - row["latency_ms"] / 1_000
         attempts.append(Attempt(*fields, row["reason"], began_at, at))
     return attempts, requests
+
+
+def read_all(directory: pathlib.Path) -> Evidence:
+    """Reads the records of all upstreams and load clients of a scenario."""
+    evidence = Evidence()
+    for path in sorted(directory.glob("upstream-*.jsonl")):
+        evidence.runs += read_runs(path)
+    for path in sorted(directory.glob("load-*.jsonl")):
+        attempts, requests = read_load(path)
+        evidence.attempts += attempts
+        evidence.requests += requests
+    return evidence
--- a/medlardoor/scenarios/planning.py
+++ b/medlardoor/scenarios/planning.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import inspect
+import types
 import typing
 
 import anyio
@@ -18,6 +19,17 @@
 
 DEFAULT_WAIT_S = 10.0
 
+
+def _public_functions(module: types.ModuleType) -> dict[str, typing.Callable]:
+    """Functions of a module by name, with hyphens."""
+    found = {name: getattr(module, name) for name in module.__all__}
+    return {
+        name.replace("_", "-"): function
+        for name, function in found.items()
+        if inspect.isfunction(function)
+    }
+
+
 # Functions by verb and first word; the empty word stands for any other.
 FUNCTIONS: dict[str, dict[str, typing.Callable]] = {
     "start": {
@@ -32,24 +44,8 @@
     },
     "promote": {"": steps.promote},
     "stop": {"": steps.stop},
-    "wait-for": {
-        "serving": conditions.serving,
-        "version": conditions.version,
-        "end": conditions.ended,
-        "attempts": conditions.attempts,
-        "runs": conditions.runs,
-    },
-    "expect": {
-        "orders-run-once": checks.orders_run_once,
-        "answers-match": checks.answers_match,
-        "not-run-is-true": checks.not_run_is_true,
-        "retries-bounded": checks.retries_bounded,
-        "refused-by-rank": checks.refused_by_rank,
-        "no-new-work": checks.no_new_work,
-        "runs-completed": checks.runs_completed,
-        "versions-in-force": checks.versions_in_force,
-        "share": checks.outcome_share,
-    },
+    "wait-for": _public_functions(conditions),
+    "expect": _public_functions(checks),
 }
 
 
--- a/medlardoor/scenarios/steps.py
+++ b/medlardoor/scenarios/steps.py
@@ -1,7 +1,7 @@
 """Steps that change a running scenario: start, load, fault, promote, stop.
 
 The words of a step fill the parameters after `world` in order, its options
-fill them by name.
+fill them by name; a single settings object takes all of them.
 """
 
 import json
@@ -21,6 +21,7 @@
 __all__ = [
     "LoadOptions",
     "ServiceOptions",
+    "UpstreamFaults",
     "inject_fault",
     "promote",
     "set_platform_fault",
@@ -39,6 +40,7 @@
 UPSTREAM = ["medlardoor.cli.standins", "upstream"]
 LOAD = ["medlardoor.cli.standins", "load"]
 PLATFORM = ["medlardoor.cli.standins", "platform", "--port", "0"]
+CALL_FIELDS = ("service", "method", "path", "on_path")
 
 Done = result.Result[str, world_module.Observation]
 
@@ -46,9 +48,9 @@
 class ServiceOptions(settings_module.Settings):
     """Options of ``start service``.
 
-    `calls` lists child calls, ``service method path`` each, separated by
-    commas. With `relay` the node reaches its upstream through a relay.
-    With `respawn` an upstream that crashes is started again.
+    `calls` lists child calls, ``service method path [on_path]`` each,
+    separated by commas. With `relay` the node reaches its upstream through a
+    relay. With `respawn` an upstream that crashes is started again.
     """
 
     service: str
@@ -56,7 +58,6 @@
     slots: int = 20
     mean_ms: float = 20.0
     calls: str = ""
-    on_path: str = "/"
     relay: bool = False
     respawn: bool = False
     forward_s: float = 3.0
@@ -81,6 +82,18 @@
     duration_s: float
 
 
+class UpstreamFaults(settings_module.Settings):
+    """Options of ``fault upstream``; faults that are not given end."""
+
+    instance: str
+    slow_factor: float = 1.0
+    report: str = "ok"
+    reported_slots: int = 0
+    shed: float = 0.0
+    draining: bool = False
+    crash_on: str = ""
+
+
 async def start_platform(world: world_module.World) -> Done:
     """Starts the stand-in of the platform."""
     await world.start_program("platform", PLATFORM)
@@ -108,16 +121,8 @@
         "slots": options.slots,
         "mean_ms": options.mean_ms,
         "seed": world.seed,
-        "children": [
-            {
-                "service": service,
-                "method": method,
-                "path": path,
-                "on_path": options.on_path,
-            }
-            for service, method, path in calls
-        ],
-        "record": str(world.directory / f"upstream-{instance}.jsonl"),
+        "children": [dict(zip(CALL_FIELDS, c, strict=False)) for c in calls],
+        "record": str(world.directory / f"{name}.jsonl"),
     }
     event = await world.start_program(name, UPSTREAM, settings)
     # A restarted process keeps its address.
@@ -130,6 +135,7 @@
 
 
 async def _start_node(world, options, instance, upstream_port):
+    name = f"node-{instance}"
     platform_port = await world.start_relay(
         f"{instance} platform", world.events["platform"]["port"]
     )
@@ -146,17 +152,18 @@
         "forward_s": options.forward_s,
         "drain_timeout_s": options.drain_timeout_s,
     }
-    event = await world.start_program(f"node-{instance}", NODE, settings)
-    for name in ("caller", "peer", "egress", "admin", "gossip"):
-        settings[name] = {"port": event[f"{name}_port"]}
-    world.write_settings(f"node-{instance}", settings)
+    event = await world.start_program(name, NODE, settings)
+    for listener in ("caller", "peer", "egress", "admin", "gossip"):
+        settings[listener] = {"port": event[f"{listener}_port"]}
+    world.write_settings(name, settings)
     callers = world.callers.setdefault(options.service, [])
     callers.append(f"127.0.0.1:{event['caller_port']}")
 
 
 async def start_load(world: world_module.World, options: LoadOptions) -> Done:
     """Starts a load client that sends requests of one kind."""
-    kind = options.model_dump(exclude={"name", "kind", "rate", "duration_s"})
+    name = f"load-{options.name}"
+    kind = options.model_dump(exclude={"kind", "rate", "duration_s"})
     phase = {
         "name": options.name,
         "duration_s": options.duration_s,
@@ -167,9 +174,8 @@
         "targets": {options.service: world.callers[options.service]},
         "kinds": [{**kind, "name": options.kind}],
         "phases": [phase],
-        "record": str(world.directory / f"load-{options.name}.jsonl"),
+        "record": str(world.directory / f"{name}.jsonl"),
     }
-    name = f"load-{options.name}"
     await world.start_program(name, LOAD, settings, listens=False)
     return result.Ok("")
 
@@ -197,7 +203,6 @@
     process = world.processes.get(target)
     if process is None:
         return world_module.missing(f"process {target}")
-    world.marks[target] = time.monotonic()
     if fault == "freeze":
         process.signal(signal.SIGSTOP)
     elif fault == "thaw":
@@ -205,10 +210,7 @@
     else:
         process.kill()
     if fault == "restart":
-        process.start()
-        await world.wait_listening(target)
-        if target.startswith("upstream-"):
-            await world.restore_upstream(target.removeprefix("upstream-"))
+        await world.restart(target)
     return result.Ok("")
 
 
@@ -218,51 +220,33 @@
     delay_ms: int = 0,
 ) -> Done:
     """Sets the fault of the platform."""
-    port = world.events["platform"]["port"]
-    return await _set_faults(world, port, {"mode": mode, "delay_ms": delay_ms})
+    faults = {"mode": mode, "delay_ms": delay_ms}
+    return await _set_faults(world, "platform", faults)
 
 
 async def set_upstream_faults(
-    world: world_module.World,
-    instance: str,
-    slow_factor: float = 1.0,
-    report: str = "ok",
-    reported_slots: int = 0,
-    shed: float = 0.0,
-    draining: bool = False,
-    crash_on: str = "",
+    world: world_module.World, options: UpstreamFaults
 ) -> Done:
-    """Sets the faults of an upstream; those not given end."""
-    event = world.events.get(f"upstream-{instance}")
-    if event is None:
-        return world_module.missing(f"upstream {instance}")
-    if draining:
-        world.marks[instance] = time.monotonic()
-    faults = {
-        "slow_factor": slow_factor,
-        "report": report,
-        "reported_slots": reported_slots,
-        "shed": shed,
-        "draining": draining,
-        "crash_on": crash_on,
-    }
-    world.faults[instance] = faults
-    return await _set_faults(world, event["port"], faults)
-
-
-async def _set_faults(world, port, faults) -> Done:
+    """Sets the faults of an upstream, also for its next starts."""
+    name = f"upstream-{options.instance}"
+    if options.draining:
+        world.marks[options.instance] = time.monotonic()
+    world.faults[name] = options.model_dump(exclude={"instance"})
+    return await _set_faults(world, name, world.faults[name])
+
+
+async def _set_faults(world, name, faults) -> Done:
+    if name not in world.events:
+        return world_module.missing(f"process {name}")
+    port = world.events[name]["port"]
     answer = await world.send(port, "POST", "/standin/faults", faults)
     if answer is None or answer.status != 200:
-        return world_module.missing("answer of the stand-in")
+        return world_module.missing(f"acceptance of the fault by {name}")
     return result.Ok("")
 
 
 async def promote(
-    world: world_module.World,
-    document: str,
-    old: str = "",
-    new: str = "",
-    trial: bool = False,
+    world: world_module.World, document: str, old: str = "", new: str = ""
 ) -> Done:
     """Promotes an example document with the text `old` replaced by `new`.
 
@@ -273,10 +257,13 @@
     if old not in text:
         return world_module.missing(f"text {old} in the document")
     text = text.replace(old, new, 1) if old else text
-    done = await _write_first(world, text) if not world.live_nodes() else None
-    for name in world.live_nodes():
-        if done is None or done.is_err():
-            done = await _promote_at(world, name, text, trial)
+    nodes = world.live_nodes()
+    if not nodes:
+        return await _write_first(world, text)
+    for name in nodes:
+        done = await _promote_at(world, name, text)
+        if done.is_ok():
+            break
     return done
 
 
@@ -291,15 +278,11 @@
     return _accept(world, answer)
 
 
-async def _promote_at(world, name, text, trial) -> Done:
+async def _promote_at(world, name, text) -> Done:
     status = world.status.get(name)
     if status is None:
         return world_module.missing(f"status of {name}")
-    body = {
-        "text": text,
-        "expected_version": status["version"],
-        "trial": trial,
-    }
+    body = {"text": text, "expected_version": status["version"]}
     port = world.events[name]["admin_port"]
     return _accept(world, await world.send(port, "POST", "/v1/promote", body))
 
@@ -311,7 +294,7 @@
     version = json.loads(answer.content)["version"]
     now = time.monotonic()
     world.promotions.append(evidence_module.Promotion(version, now))
-    return result.Ok(f"version {version}")
+    return result.Ok("")
 
 
 async def stop(world: world_module.World, target: str) -> Done:
--- a/medlardoor/scenarios/tests/test_checks.py
+++ b/medlardoor/scenarios/tests/test_checks.py
@@ -115,7 +115,7 @@
         evidence.Evidence(versions=[_sample(8.1, 1)], promotions=[LATER]),
     ),
     "share too small": (
-        checks.outcome_share,
+        checks.share,
         {"load": "a", "lowest": 1.0},
         evidence.Evidence(
             requests=[_request("whole"), _request("failed", "1-b-k-1")]
--- a/medlardoor/scenarios/world.py
+++ b/medlardoor/scenarios/world.py
@@ -16,14 +16,15 @@
 
 from medlardoor import errors
 from medlardoor.scenarios import evidence as evidence_module
+from medlardoor.standins import relay as relay_module
 
-__all__ = ["Observation", "Process", "Relay", "World", "missing"]
+__all__ = ["Observation", "Process", "World", "missing"]
 
 POLL_S = 0.05
 STATUS_INTERVAL_S = 0.25
 HTTP_TIMEOUT_S = 5.0
 START_TIMEOUT_S = 20.0
-CHUNK_BYTES = 65_536
+HOST = "127.0.0.1"
 
 Row = dict[str, typing.Any]
 
@@ -49,30 +50,26 @@
     """One program in a process of its own, signalled by process id.
 
     Args:
-        name: Name in the scenario, such as ``node-order-1``.
+        path: Path of its output, without a suffix.
         arguments: Arguments of the Python interpreter.
-        directory: Directory of its output.
     """
 
-    def __init__(
-        self, name: str, arguments: list[str], directory: pathlib.Path
-    ):
-        self.name = name
+    def __init__(self, path: pathlib.Path, arguments: list[str]):
         self._arguments = arguments
-        self._output = directory / f"{name}.out"
-        self._log = directory / f"{name}.log"
-        self._popen: subprocess.Popen | None = None
+        self._output = path.with_suffix(".out")
+        self._log = path.with_suffix(".log")
+        self.start()
 
     @property
     def exit_status(self) -> int | None:
         """Exit status; None while the process runs."""
-        return self._popen.poll() if self._popen else 0
+        return self._popen.poll()
 
     def start(self) -> None:
         """Starts the program, again if it has ended."""
         with self._output.open("wb") as output, self._log.open("ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, *self._arguments],
+                [sys.executable, "-m", *self._arguments],
                 stdout=output,
                 stderr=log,
                 start_new_session=True,
@@ -86,8 +83,7 @@
     def kill(self) -> None:
         """Ends the process at once and waits for its end."""
         self.signal(signal.SIGKILL)
-        if self._popen:
-            self._popen.wait()
+        self._popen.wait()
 
     def listening(self) -> Row | None:
         """The event with its ports; None until it is printed."""
@@ -95,52 +91,6 @@
         return json.loads(first) if end else None
 
 
-class Relay:
-    """Relays TCP connections to one target until it is cut.
-
-    Args:
-        port: Port of the target on the loopback address.
-    """
-
-    def __init__(self, port: int):
-        self._target = port
-        self._cut = False
-        self._scopes: set[anyio.CancelScope] = set()
-
-    def set_cut(self, cut: bool) -> None:
-        """Breaks all connections and refuses new ones, or heals."""
-        self._cut = cut
-        for scope in list(self._scopes) if cut else []:
-            scope.cancel()
-
-    async def handle(self, near: anyio.abc.SocketStream) -> None:
-        """Relays one connection."""
-        async with near:
-            if self._cut:
-                return
-            try:
-                far = await anyio.connect_tcp("127.0.0.1", self._target)
-            except OSError:
-                return
-            async with far, anyio.create_task_group() as group:
-                self._scopes.add(group.cancel_scope)
-                group.start_soon(_copy, near, far, group.cancel_scope)
-                group.start_soon(_copy, far, near, group.cancel_scope)
-            self._scopes.discard(group.cancel_scope)
-
-
-async def _copy(
-    source: anyio.abc.SocketStream,
-    target: anyio.abc.SocketStream,
-    scope: anyio.CancelScope,
-) -> None:
-    try:
-        while True:
-            await target.send(await source.receive(CHUNK_BYTES))
-    except (anyio.EndOfStream, anyio.BrokenResourceError):
-        scope.cancel()
-
-
 class World:
     """State of one running scenario.
 
@@ -151,17 +101,14 @@
     """
 
     def __init__(
-        self,
-        directory: pathlib.Path,
-        seed: int,
-        tasks: anyio.abc.TaskGroup,
+        self, directory: pathlib.Path, seed: int, tasks: anyio.abc.TaskGroup
     ):
         self.directory = directory
         self.seed = seed
         self.processes: dict[str, Process] = {}
         self.events: dict[str, Row] = {}
         self.status: dict[str, Row] = {}
-        self.relays: dict[str, Relay] = {}
+        self.relays: dict[str, relay_module.Relay] = {}
         self.respawned: set[str] = set()
         self.faults: dict[str, Row] = {}
         self.callers: dict[str, list[str]] = {}
@@ -178,18 +125,12 @@
         settings: Row | None = None,
         listens: bool = True,
     ) -> Row:
-        """Starts a program and waits for its listeners.
-
-        Raises:
-            TimeoutError: It did not report its listeners in time.
-        """
+        """Starts a program and waits for its listeners."""
         if settings is not None:
             path = self.write_settings(name, settings)
             arguments = [*arguments, "--settings", str(path)]
-        process = Process(name, ["-m", *arguments], self.directory)
-        self.processes[name] = process
-        process.start()
-        return await self.wait_listening(name) if listens else {}
+        self.processes[name] = Process(self.directory / name, arguments)
+        return await self._wait_listening(name) if listens else {}
 
     def write_settings(self, name: str, settings: Row) -> pathlib.Path:
         """Writes the settings file that a program reads when it starts."""
@@ -197,25 +138,36 @@
         path.write_text(json.dumps(settings))
         return path
 
-    async def wait_listening(self, name: str) -> Row:
-        """Waits for the event with the ports of a program.
+    async def restart(self, name: str) -> None:
+        """Starts a program that has ended, with its last settings."""
+        self.processes[name].start()
+        await self._wait_listening(name)
+        if name.startswith("upstream-"):
+            await self.restore_upstream(name.removeprefix("upstream-"))
+
+    async def restore_upstream(self, instance: str) -> None:
+        """Sets what a started upstream does not know: egress and faults."""
+        name = f"upstream-{instance}"
+        port = self.events[name]["port"]
+        egress = self.events[f"node-{instance}"]["egress_port"]
+        await self.send(port, "POST", "/standin/egress", f"{HOST}:{egress}")
+        if name in self.faults:
+            faults = self.faults[name]
+            await self.send(port, "POST", "/standin/faults", faults)
 
-        Raises:
-            TimeoutError: It did not report its listeners in time.
-        """
-        process = self.processes[name]
+    async def _wait_listening(self, name: str) -> Row:
         with anyio.fail_after(START_TIMEOUT_S):
             # The program writes the event to a file, which cannot be awaited.
-            while (event := process.listening()) is None:  # noqa: ASYNC110
+            while not (event := self.processes[name].listening()):  # noqa: ASYNC110
                 await anyio.sleep(POLL_S)
         self.events[name] = event
         return event
 
     async def start_relay(self, name: str, port: int) -> int:
         """Starts a relay to a port; returns the port to use instead."""
-        relay = Relay(port)
+        relay = relay_module.Relay(port)
         self.relays[name] = relay
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        listener = await anyio.create_tcp_listener(local_host=HOST)
         self._tasks.start_soon(listener.serve, relay.handle)
         return listener.extra(anyio.abc.SocketAttribute.local_port)
 
@@ -228,19 +180,16 @@
         headers: dict[str, str] | None = None,
     ) -> httpcore.Response | None:
         """Sends a request on the loopback address; None without an answer."""
-        content = body if isinstance(body, str) else json.dumps(body)
+        text = body if isinstance(body, str) else json.dumps(body)
         with anyio.move_on_after(HTTP_TIMEOUT_S):
             try:
                 return await self._pool.request(
                     method,
-                    f"http://127.0.0.1:{port}{target}",
-                    headers={
-                        "Content-Type": "application/json",
-                        **(headers or {}),
-                    },
-                    content=content.encode(),
+                    f"http://{HOST}:{port}{target}",
+                    headers={"Host": f"{HOST}:{port}", **(headers or {})},
+                    content=text.encode(),
                 )
-            except (OSError, httpcore.NetworkError, httpcore.ProtocolError):
+            except (httpcore.NetworkError, httpcore.ProtocolError):
                 return None
         return None
 
@@ -267,47 +216,28 @@
             answer = await self.send(port, "GET", "/v1/status")
             if answer is None or answer.status != 200:
                 return
-            now = time.monotonic()
-            value = json.loads(answer.content)
-            self.status[name] = value
-            self.versions.append(
-                evidence_module.VersionSample(name, now, value["version"])
+            status = json.loads(answer.content)
+            self.status[name] = status
+            sample = evidence_module.VersionSample(
+                name, time.monotonic(), status["version"]
             )
+            self.versions.append(sample)
 
     async def respawn(self) -> None:
         """Restarts upstreams that end by themselves until cancelled."""
         while True:
             for name in self.respawned:
-                process = self.processes[name]
-                if process.exit_status not in (None, 0, -signal.SIGKILL):
-                    process.start()
-                    await self.wait_listening(name)
-                    await self.restore_upstream(name.partition("-")[2])
+                status = self.processes[name].exit_status
+                if status not in (None, 0, -signal.SIGKILL):
+                    await self.restart(name)
             await anyio.sleep(POLL_S)
 
-    async def restore_upstream(self, instance: str) -> None:
-        """Sets what a started upstream does not know: egress and faults."""
-        egress = self.events[f"node-{instance}"]["egress_port"]
-        port = self.events[f"upstream-{instance}"]["port"]
-        address = f"127.0.0.1:{egress}"
-        await self.send(port, "POST", "/standin/egress", address)
-        if instance in self.faults:
-            faults = self.faults[instance]
-            await self.send(port, "POST", "/standin/faults", faults)
-
     def evidence(self) -> evidence_module.Evidence:
         """Everything that was recorded so far."""
-        evidence = evidence_module.Evidence(
-            versions=self.versions,
-            promotions=self.promotions,
-            marks=self.marks,
-        )
-        for path in sorted(self.directory.glob("upstream-*.jsonl")):
-            evidence.runs += evidence_module.read_runs(path)
-        for path in sorted(self.directory.glob("load-*.jsonl")):
-            attempts, requests = evidence_module.read_load(path)
-            evidence.attempts += attempts
-            evidence.requests += requests
+        evidence = evidence_module.read_all(self.directory)
+        evidence.versions = self.versions
+        evidence.promotions = self.promotions
+        evidence.marks = self.marks
         return evidence
 
     def kill_all(self) -> None:
