Retire a key when its request is reported as not run

The budget of a key's record was also drained into the answer to the node that had forwarded the request.

Ruled out: noticing closed connections before a run begins; it narrows the race, but a paused node can hold the old attempt open.

Change: a not-run answer retires the key and carries a successor key, which inherits digest and retry budget. A retired key never runs.

The property test of the ledger now fails on a run after a not-run answer; it found the case of the full ledger.

--- a/medlardoor/errors.py
+++ b/medlardoor/errors.py
@@ -43,6 +43,7 @@
     QUARANTINED = "quarantined"
     KEY_REQUIRED = "key_required"
     KEY_INVALID = "key_invalid"
+    KEY_RETIRED = "key_retired"
     KEY_EXPIRED = "key_expired"
     KEY_OWNER_LOST = "key_owner_lost"
     KEY_IN_PROGRESS = "key_in_progress"
@@ -74,6 +75,7 @@
         detail: Additional facts for the caller, one sentence.
         retry_after_ms: When the caller may come back; 0 if it should not.
         unspent_budget: Retries that the request may still spend.
+        next_key: Idempotency key to send the request again with.
     """
 
     outcome: Outcome
@@ -81,6 +83,7 @@
     detail: str = ""
     retry_after_ms: int = 0
     unspent_budget: int = 0
+    next_key: str = ""
 
     @property
     def message(self) -> str:
--- a/medlardoor/ledger/keys.py
+++ b/medlardoor/ledger/keys.py
@@ -109,6 +109,10 @@
         self.expire(now)
         return tuple(self._seal(first + i) for i in range(count))
 
+    def key_of(self, sequence: int) -> str:
+        """The key that was issued with a sequence number."""
+        return self._seal(sequence)
+
     def parse(self, key: str) -> result.Result[ParsedKey, errors.Refusal]:
         """Checks the form and the MAC of a key of any node.
 
--- a/medlardoor/ledger/records.py
+++ b/medlardoor/ledger/records.py
@@ -13,7 +13,7 @@
 
 from medlardoor import errors
 from medlardoor.config import settings as settings_module
-from medlardoor.ledger import keys, refusals, state, usage
+from medlardoor.ledger import keys, refusals, state, succession, usage
 
 __all__ = [
     "Denied",
@@ -46,7 +46,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Join:
-    """The request is running; the caller may wait for that run."""
+    """The request is running; the caller may wait for that run.
+
+    Attributes:
+        key: Key of the run; a successor of the key that was asked for, if
+            that one is retired.
+    """
+
+    key: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +85,7 @@
         self._issuer = issuer
         self._records: dict[int, state.Record] = {}
         self._used = usage.UsedKeys()
+        self._successors = succession.Successors()
         # Records in order of completion; the first may be evicted.
         self._evictable: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
@@ -129,14 +137,21 @@
         if sequence <= self._issuer.low_water or sequence in self._used:
             return Denied(refusals.expired())
         if not self._make_room(state.RECORD_BYTES, 1):
-            return Denied(refusals.full())
-        budget = state.KeyBudget(retry_budget)
-        self._records[sequence] = state.Record(
-            request_digest, budget, idempotent
+            return Denied(refusals.full(self._replace_unused(sequence, now)))
+        record = state.Record(
+            request_digest, state.KeyBudget(retry_budget), idempotent
         )
+        inherited = self._successors.find(sequence)
+        if inherited is not None:
+            refusal = succession.inherit(record, inherited)
+            if refusal is not None:
+                return Denied(refusal)
+            self._successors.remove(sequence)
+            self._bytes -= succession.INHERITANCE_BYTES
+        self._records[sequence] = record
         self._used.add(sequence)
         self._bytes += state.RECORD_BYTES
-        return Run(budget)
+        return Run(record.budget)
 
     def complete(
         self,
@@ -176,9 +191,6 @@
             return _without_record(outcome)
         if outcome is errors.Outcome.NOT_RUN and not dispatched:
             record.refund()
-            if record.unused:
-                self._forget_unused(sequence)
-                return outcome
         else:
             record.dispatched = True
         record.finished_at = now
@@ -186,8 +198,17 @@
         self._settle(sequence, record, outcome)
         if answered and answer is not None:
             self._keep_answer(sequence, record, answer)
+        if record.state is state.State.NOT_RUN:
+            self._add_successor(record, now)
         return record.outcome
 
+    def successor_of(self, key: str) -> str:
+        """Key that continues a request that was not run; empty if none."""
+        record = self._records.get(self._own_sequence(key).unwrap_or(0))
+        if record is None or record.successor == 0:
+            return ""
+        return self._issuer.key_of(record.successor)
+
     def expire(self, now: float) -> None:
         """Drops records that have been kept long enough.
 
@@ -197,6 +218,8 @@
         self._issuer.expire(now)
         low_water = self._issuer.low_water
         self._used.drop_through(low_water)
+        dropped = self._successors.drop_through(low_water)
+        self._bytes -= dropped * succession.INHERITANCE_BYTES
         oldest = now - self._settings.keep_s
         while self._evictable:
             sequence = next(iter(self._evictable))
@@ -236,8 +259,10 @@
                     "The key belongs to a request with another content.",
                 )
             )
+        if record.state is state.State.NOT_RUN:
+            return self._follow_successor(record, digest)
         if record.state is state.State.RUNNING:
-            return Join()
+            return Join(self._issuer.key_of(sequence))
         if record.state is state.State.ANSWERED:
             return self._replay(record)
         if record.state is state.State.UNKNOWN and not record.idempotent:
@@ -260,6 +285,58 @@
         record.paid = True
         return Run(record.budget)
 
+    def _follow_successor(
+        self, record: state.Record, digest: bytes
+    ) -> Run | Replay | Join | Denied:
+        """Answers for a retired key; it never permits a run itself."""
+        successor = record.successor
+        if successor == 0:
+            return Denied(
+                record.refuse(
+                    errors.Reason.BUDGET_EXHAUSTED,
+                    "The retries of this key are spent.",
+                )
+            )
+        following = self._records.get(successor)
+        if following is None:
+            if successor in self._successors:
+                return Denied(refusals.retired(self._issuer.key_of(successor)))
+            return Denied(refusals.expired())
+        if following.state is state.State.UNKNOWN:
+            return Denied(
+                following.refuse(
+                    following.reason,
+                    "A later run of this request has an unknown outcome.",
+                )
+            )
+        return self._begin_again(successor, following, digest)
+
+    def _replace_unused(self, sequence: int, now: float) -> str:
+        """Retires a key without a record and gives another one for it."""
+        self._issuer.issue(1, now)
+        replacement = self._issuer.last_issued
+        self._used.add(sequence)
+        inherited = self._successors.find(sequence)
+        if inherited is not None:
+            self._successors.remove(sequence)
+            self._successors.add(replacement, inherited)
+        return self._issuer.key_of(replacement)
+
+    def _add_successor(self, record: state.Record, now: float) -> None:
+        """Reserves the key that the caller may continue with."""
+        spent = record.dispatched and record.budget.remaining == 0
+        if spent or not self._make_room(succession.INHERITANCE_BYTES, 0):
+            return
+        self._issuer.issue(1, now)
+        record.successor = self._issuer.last_issued
+        self._bytes += succession.INHERITANCE_BYTES
+        self._successors.add(
+            record.successor,
+            succession.Inheritance(
+                record.digest, record.budget, record.dispatched
+            ),
+        )
+
     def _replay(self, record: state.Record) -> Replay | Denied:
         if record.answer is not None:
             return Replay(record.answer)
@@ -312,12 +389,6 @@
         self._unknown.pop(sequence, None)
         self._bytes -= record.size_bytes
 
-    def _forget_unused(self, sequence: int) -> None:
-        """Returns a key that nothing was dispatched for to its first state."""
-        self._drop(sequence)
-        if sequence > self._issuer.low_water:
-            self._used.discard(sequence)
-
 
 def _without_record(outcome: errors.Outcome) -> errors.Outcome:
     """Outcome to report when the record does not prove that nothing ran."""
--- a/medlardoor/ledger/refusals.py
+++ b/medlardoor/ledger/refusals.py
@@ -2,7 +2,7 @@
 
 from medlardoor import errors
 
-__all__ = ["expired", "full", "invalid", "owner_lost"]
+__all__ = ["expired", "full", "invalid", "owner_lost", "retired"]
 
 # A full ledger frees records as runs complete; callers come back after 1 s.
 FULL_RETRY_AFTER_MS = 1_000
@@ -26,13 +26,33 @@
     )
 
 
-def full() -> errors.Refusal:
-    """No record can be made, so an unused key does not run."""
+def full(next_key: str) -> errors.Refusal:
+    """No record can be made, so an unused key does not run.
+
+    Args:
+        next_key: Key that takes the place of the unused one.
+    """
     return errors.Refusal(
         errors.Outcome.NOT_RUN,
         errors.Reason.OVERLOAD,
         "The ledger of idempotency keys is full.",
         retry_after_ms=FULL_RETRY_AFTER_MS,
+        next_key=next_key,
+    )
+
+
+def retired(next_key: str) -> errors.Refusal:
+    """The request was reported as not run under this key.
+
+    Args:
+        next_key: Successor of the key.
+    """
+    return errors.Refusal(
+        errors.Outcome.NOT_RUN,
+        errors.Reason.KEY_RETIRED,
+        "The request was not run under this key; send it again with the key "
+        "in this answer.",
+        next_key=next_key,
     )
 
 
--- a/medlardoor/ledger/state.py
+++ b/medlardoor/ledger/state.py
@@ -53,11 +53,6 @@
         """Retries that are neither spent nor reserved."""
         return self._remaining
 
-    @property
-    def untouched(self) -> bool:
-        """Whether nothing was spent or reserved."""
-        return self._remaining == self._total
-
     def spend(self) -> bool:
         """Spends one retry if there is one."""
         if self._remaining <= 0:
@@ -109,6 +104,8 @@
         reason: Why the last run has no answer.
         finished_at: End of the last run, in seconds.
         answer: Kept answer.
+        successor: Sequence number of the key that continues the request
+            after it was not run; 0 if there is none.
     """
 
     digest: bytes
@@ -121,6 +118,7 @@
     reason: errors.Reason = errors.Reason.UPSTREAM_FAILED
     finished_at: float = 0.0
     answer: Answer | None = None
+    successor: int = 0
 
     @property
     def outcome(self) -> errors.Outcome:
@@ -132,11 +130,6 @@
         """Memory that the record is charged with."""
         return RECORD_BYTES + (self.answer.size_bytes if self.answer else 0)
 
-    @property
-    def unused(self) -> bool:
-        """Whether nothing of the request was ever dispatched."""
-        return not self.dispatched and self.budget.untouched
-
     def refuse(self, reason: errors.Reason, detail: str) -> errors.Refusal:
         """Refusal that says what is known about the request."""
         return errors.Refusal(
--- a/medlardoor/ledger/tests/test_interleavings.py
+++ b/medlardoor/ledger/tests/test_interleavings.py
@@ -36,6 +36,9 @@
         self.idempotent = idempotent
         self.starts = 0
         self.issued = []
+        # First key of the request that a successor key belongs to.
+        self.request = {}
+        self.told_not_run = set()
         self.ran = collections.Counter()
         self.dispatched = collections.Counter()
         self.nodes = [self.start(name) for name in range(NODES)]
@@ -62,10 +65,12 @@
             key, b"d", node.now, BUDGET, self.idempotent
         )
         if isinstance(decision, records.Run):
+            assert key not in self.told_not_run, "ran after not-run"
             assert not any(key in n.running for n in self.nodes)
             node.running.append(key)
         elif isinstance(decision, records.Denied):
             self.report(key, decision.refusal.outcome)
+            self.follow(key, decision.refusal.next_key)
 
     def finish(self, choice):
         node = self.nodes[choice % NODES]
@@ -79,19 +84,28 @@
             errors.Outcome.NOT_RUN,
             errors.Outcome.NOT_RUN,
         )[end]
-        self.ran[key] += end < 2
-        self.dispatched[key] += end < 3
+        request = self.request.get(key, key)
+        self.ran[request] += end < 2
+        self.dispatched[request] += end < 3
         answer = ANSWER if end == 0 else None
         self.report(
             key,
             node.ledger.complete(key, outcome, answer, node.now, end < 3),
         )
+        self.follow(key, node.ledger.successor_of(key))
+
+    def follow(self, key, successor):
+        """The caller may go on with the successor; old attempts are late."""
+        if successor and successor not in self.request:
+            self.request[successor] = self.request.get(key, key)
+            self.issued.append(successor)
 
     def restart(self, choice):
         name = choice % NODES
         # The upstream may complete what the lost process had dispatched.
-        self.ran.update(self.nodes[name].running)
-        self.dispatched.update(self.nodes[name].running)
+        lost = [self.request.get(k, k) for k in self.nodes[name].running]
+        self.ran.update(lost)
+        self.dispatched.update(lost)
         self.nodes[name] = self.start(name)
 
     def pause(self, choice):
@@ -101,8 +115,15 @@
 
     def report(self, key, outcome):
         if outcome is errors.Outcome.NOT_RUN:
-            assert self.ran[key] == 0, "not-run reported for a key that ran"
-            assert not any(key in node.running for node in self.nodes)
+            self.told_not_run.add(key)
+            request = self.request.get(key, key)
+            assert self.ran[request] == 0, "not-run reported, but it ran"
+            running = {
+                self.request.get(k, k)
+                for node in self.nodes
+                for k in node.running
+            }
+            assert request not in running
 
     def check(self):
         assert max(self.dispatched.values(), default=0) <= 1 + BUDGET
--- a/medlardoor/ledger/tests/test_records.py
+++ b/medlardoor/ledger/tests/test_records.py
@@ -107,20 +107,59 @@
         if isinstance(owner.begin(key, retry_budget=2), records.Run):
             runs += 1
             owner.ledger.complete(key, NOT_RUN, None, 0.0)
+            key = owner.ledger.successor_of(key) or key
     assert runs == 3
     expected = (NOT_RUN, errors.Reason.BUDGET_EXHAUSTED)
     assert _refused(owner.begin(key)) == expected
     assert owner.ledger.budget_of(key).remaining == 0
 
 
-def test_refused_requests_cost_neither_budget_nor_records():
-    """Orders refused under overload use up their retries without a run."""
+def test_late_attempt_does_not_run_after_a_not_run_answer():
+    """G4: an attempt that was delayed runs after its resend was refused."""
+    owner = Owner()
+    key = owner.run(NOT_RUN, None)
+    following = owner.ledger.successor_of(key)
+    retired = (NOT_RUN, errors.Reason.KEY_RETIRED)
+    for _ in range(3):
+        assert _refused(owner.begin(key)) == retired
+        assert owner.begin(key).refusal.next_key == following
+    assert isinstance(owner.begin(following), records.Run)
+    assert owner.begin(key) == records.Join(following)
+    owner.ledger.complete(following, ANSWERED, ANSWER, 1.0)
+    assert owner.begin(key) == records.Replay(ANSWER)
+
+
+def test_retired_key_follows_the_doubt_about_its_successor():
+    """G4: not-run is reported under an old key of a request that may run."""
     owner = Owner()
+    key = owner.run(NOT_RUN, None)
+    following = owner.ledger.successor_of(key)
+    owner.begin(following)
+    owner.ledger.complete(following, UNKNOWN, None, 0.0)
+    assert _refused(owner.begin(key))[0] is UNKNOWN
+
+
+def test_successor_is_bound_to_the_request():
+    """G1: another request inherits the key and budget of a refused one."""
+    owner = Owner()
+    following = owner.ledger.successor_of(owner.run(NOT_RUN, None))
+    mismatch = (NOT_RUN, errors.Reason.KEY_MISMATCH)
+    assert _refused(owner.begin(following, b"x")) == mismatch
+    assert isinstance(owner.begin(following), records.Run)
+
+
+def test_refused_requests_cost_no_budget_and_bounded_memory():
+    """Orders refused under overload use up their retries without a run."""
+    owner = Owner(max_records=4)
     key = owner.issue()
     for _ in range(10):
         assert isinstance(owner.begin(key), records.Run)
         outcome = owner.ledger.complete(key, NOT_RUN, None, 0.0, False)
         assert outcome is NOT_RUN
+        key = owner.ledger.successor_of(key)
+    assert owner.ledger.record_count <= 4
+    owner.ledger.expire(100.0)
+    owner.ledger.expire(200.0)
     assert owner.ledger.record_count == owner.ledger.used_bytes == 0
 
 
@@ -133,6 +172,7 @@
         if isinstance(owner.begin(key), records.Run):
             runs += i % 2 == 0
             owner.ledger.complete(key, NOT_RUN, None, 0.0, i % 2 == 0)
+            key = owner.ledger.successor_of(key) or key
     assert runs == 1 + records.DEFAULT_RETRY_BUDGET
 
 
--- a/medlardoor/ledger/usage.py
+++ b/medlardoor/ledger/usage.py
@@ -26,11 +26,6 @@
             self._chunks[number] = bytearray(KEYS_PER_CHUNK // 8)
         self._chunks[number][offset >> 3] |= 1 << (offset & 7)
 
-    def discard(self, sequence: int) -> None:
-        """Marks a key, marked before, as unused."""
-        number, offset = divmod(sequence, KEYS_PER_CHUNK)
-        self._chunks[number][offset >> 3] &= ~(1 << (offset & 7))
-
     def drop_through(self, sequence: int) -> None:
         """Frees chunks whose keys have all expired."""
         first_kept = (sequence + 1) // KEYS_PER_CHUNK
--- a/medlardoor/node/context.py
+++ b/medlardoor/node/context.py
@@ -61,6 +61,7 @@
         path_level: Highest admission level on the path below, for the kind.
         document_version: Version in force at the sender.
         retry_after_ms: When the caller may come back; 0 if not stated.
+        next_key: Idempotency key to send the request again with.
     """
 
     outcome: str
@@ -69,3 +70,4 @@
     path_level: int = 0
     document_version: int = 0
     retry_after_ms: int = 0
+    next_key: str = ""
--- a/medlardoor/node/forwarding.py
+++ b/medlardoor/node/forwarding.py
@@ -101,6 +101,7 @@
             path_level=call_result.path_level,
             document_version=call_result.document_version,
             retry_after_ms=call_result.retry_after_ms,
+            next_key=call_result.next_key,
         ),
         key,
     )
@@ -124,6 +125,7 @@
         path_level=struct.path_level or 0,
         document_version=struct.document_version or 0,
         retry_after_ms=struct.retry_after_ms or 0,
+        next_key=struct.next_key or "",
     )
 
 
@@ -268,4 +270,5 @@
         "",
         report.retry_after_ms,
         report.unspent_budget,
+        report.next_key,
     )
--- a/medlardoor/node/ingress.py
+++ b/medlardoor/node/ingress.py
@@ -182,7 +182,9 @@
         call: context.CallContext,
     ) -> None:
         headers: exchange.Headers = []
-        if refusal.reason in _KEY_REASONS or not call.key:
+        if refusal.next_key:
+            headers.append((KEY_HEADER, refusal.next_key.encode()))
+        elif refusal.reason in _KEY_REASONS or not call.key:
             headers.append((KEY_HEADER, self._new_key()))
         await problems.send_problem(
             reply, refusal, call.chain_id, call.kind, headers
@@ -294,11 +296,7 @@
     ) -> None:
         self._node.configuration_task.see_version(call.document_version)
         active = calls.ActiveCall(call, budget_module.RetryBudget(call.budget))
-        reply.set_answer_headers(
-            lambda: self._result_headers(
-                active, errors.Outcome.ANSWERED, None, 0
-            )
-        )
+        reply.set_answer_headers(lambda: self._result_headers(active, None))
         work = executor.Work(active, request, body, reply)
         refusal = arrival.refusal_before_arrival(
             self._node.adoption, bool(call.key) and not call.handed_over
@@ -310,33 +308,30 @@
                 return
             refusal = ended.err()
         self._log_refusal(call, refusal)
-        headers = self._result_headers(
-            active, refusal.outcome, refusal.reason, refusal.retry_after_ms
-        )
+        headers = self._result_headers(active, refusal)
         await problems.send_problem(
             reply, refusal, call.chain_id, call.kind, headers
         )
 
     def _result_headers(
-        self,
-        active: calls.ActiveCall,
-        outcome: errors.Outcome,
-        reason: errors.Reason | None,
-        retry_after_ms: int,
+        self, active: calls.ActiveCall, refusal: errors.Refusal | None
     ) -> exchange.Headers:
+        """Result of a call for the node that sent it."""
         board = self._node.board
-        # Only levels met by this very call are passed on; remembered ones
-        # would circulate among services that call each other.
-        path_level = max(board.limits.effective_level, active.path_level)
         call_result = context.CallResult(
-            outcome=outcome.value,
-            reason=reason.value if reason else "",
+            outcome=errors.Outcome.ANSWERED.value,
             # The whole remainder goes back; none is left to spend here.
             unspent_budget=active.take_unspent(),
-            path_level=path_level,
+            # Only levels met by this very call are passed on; remembered ones
+            # would circulate among services that call each other.
+            path_level=max(board.limits.effective_level, active.path_level),
             document_version=board.policy.version,
-            retry_after_ms=retry_after_ms,
         )
+        if refusal is not None:
+            call_result.outcome = refusal.outcome.value
+            call_result.reason = refusal.reason.value
+            call_result.retry_after_ms = refusal.retry_after_ms
+            call_result.next_key = refusal.next_key
         value = forwarding.result_header(call_result, self._node.cluster_key)
         return [(forwarding.RESULT_HEADER, value)]
 
--- a/medlardoor/node/keyed.py
+++ b/medlardoor/node/keyed.py
@@ -50,6 +50,8 @@
         if parsed.is_err():
             return parsed
         if parsed.ok().instance == self._node.board.instance:
+            # Callers may put the key in quotation marks.
+            work.active.call.key = key.strip().strip('"')
             return await self._run_as_owner(work)
         return await self._ask_owner(work, parsed.ok())
 
@@ -96,7 +98,7 @@
             if not isinstance(decision, records.Join):
                 break
             with anyio.CancelScope(deadline=call.deadline) as scope:
-                await self._runs[call.key].wait()
+                await self._runs[decision.key].wait()
             if scope.cancelled_caught:
                 return result.Err(_unknown_in_time())
         if isinstance(decision, records.Denied):
@@ -104,8 +106,14 @@
         if isinstance(decision, records.Replay):
             await _replay(decision.answer, work.reply)
             return result.Ok(None)
-        work.active.budget = decision.budget
-        return await self._run_in_background(work)
+        # The budget of the record outlives this attempt; what the attempt
+        # received with its context goes back to the node that sent it.
+        run = dataclasses.replace(work.active, budget=decision.budget)
+        ended = await self._run_in_background(
+            dataclasses.replace(work, active=run)
+        )
+        work.active.path_level = run.path_level
+        return ended
 
     async def _run_in_background(self, work: executor.Work) -> Ended:
         finished = anyio.Event()
@@ -156,11 +164,14 @@
             work.dispatched,
             reason,
         )
-        if ended.is_err() and recorded is not outcome:
-            return result.Err(
-                dataclasses.replace(ended.err(), outcome=recorded)
+        if ended.is_ok():
+            return ended
+        next_key = self._node.ledger.successor_of(work.active.call.key)
+        return result.Err(
+            dataclasses.replace(
+                ended.err(), outcome=recorded, next_key=next_key
             )
-        return ended
+        )
 
 
 def _captured_answer(reply: exchange.Reply) -> ledger_state.Answer | None:
--- a/medlardoor/node/problems.py
+++ b/medlardoor/node/problems.py
@@ -18,6 +18,7 @@
     errors.Reason.QUARANTINED: 409,
     errors.Reason.KEY_REQUIRED: 428,
     errors.Reason.KEY_INVALID: 428,
+    errors.Reason.KEY_RETIRED: 428,
     errors.Reason.KEY_EXPIRED: 409,
     errors.Reason.KEY_OWNER_LOST: 409,
     errors.Reason.KEY_IN_PROGRESS: 409,
--- a/medlardoor/report/recorder.py
+++ b/medlardoor/report/recorder.py
@@ -23,6 +23,7 @@
         errors.Reason.CANCELLED,
         errors.Reason.KEY_REQUIRED,
         errors.Reason.KEY_INVALID,
+        errors.Reason.KEY_RETIRED,
         errors.Reason.KEY_MISMATCH,
         errors.Reason.INVALID_REQUEST,
     }
--- a/medlardoor/standins/load_request.py
+++ b/medlardoor/standins/load_request.py
@@ -156,7 +156,7 @@
             self._stocks[service].extend(keys)
 
     def _keep_keys(self, request, attempt):
-        if attempt.key and (attempt.status == 428 or not request.key):
+        if attempt.key:
             request.key = attempt.key
         stock = self._stocks.get(request.kind.service)
         if attempt.next_key and stock is not None:
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -80,7 +80,7 @@
   4: i32 path_level,
   5: i64 document_version,
   6: i32 retry_after_ms,
-  7: i32 retries_spent,
+  7: string next_key,          // Successor of a retired idempotency key.
 }
 
 struct DocumentTransfer {
