--- a/medlardoor/admission/tests/test_controller.py
+++ b/medlardoor/admission/tests/test_controller.py
@@ -247,3 +247,20 @@
     # Within a rank the record of a peer is too old to be used.
     expected = own if level >= 128 else max(level, floor)
     assert node.controller.path_level == expected
+
+
+def test_restart_starts_few_of_those_that_wait():
+    """A thundering return: the whole queue starts on a cold upstream."""
+    node = Node(slots=40)
+    calls = [node.call(1) for _ in range(200)]
+    for call in calls:
+        node.offer(call)
+    assert len(node.running) == 40
+    node.controller.restart_upstream(node.now)
+    lost = controller_module.Completion(0.0, errors.Outcome.UNKNOWN)
+    starts = []
+    for call_id in list(node.running):
+        starts += node.controller.finish(call_id, lost, node.now)
+    assert len(starts) == 4
+    assert node.board.limits.warmth_percent == 10
+    assert node.board.limits.in_flight == 4
