--- a/medlardoor/bench/callers.py
+++ b/medlardoor/bench/callers.py
@@ -10,6 +10,9 @@
 
 MAX_ATTEMPTS = 4
 
+# A caller whose request crashes upstreams does not give up within the run.
+_CRASHING_ATTEMPTS = 1_000
+
 # Pause before a resend by callers that do not follow the hint.
 _PAUSE_S = 0.1
 
@@ -47,6 +50,13 @@
         for kind in self._world.company.kinds:
             self._schedule(kind)
 
+    def send_crashing(self) -> None:
+        """Sends a request that crashes upstreams, again and again."""
+        kind = self._world.company.kinds[-1]
+        request = workload.Request(kind, self._world.simulator.now)
+        request.crashes = True
+        self._attempt(request)
+
     def _schedule(self, kind: workload.KindSpec) -> None:
         simulator = self._world.simulator
         rate = max(1e-6, self._rate(simulator.now) * kind.share)
@@ -92,7 +102,7 @@
         self._resend(request, reply)
 
     def _resend(self, request, reply) -> None:
-        if request.attempts >= MAX_ATTEMPTS:
+        if request.attempts >= _most_attempts(request):
             return
         unknown = reply.outcome is errors.Outcome.UNKNOWN
         if unknown and self._states_outcomes and not request.kind.idempotent:
@@ -110,8 +120,12 @@
         call.on_reply = None
         self._world.cancel(call)
         request = call.request
-        if request.attempts >= MAX_ATTEMPTS:
+        if request.attempts >= _most_attempts(request):
             return
         if self._states_outcomes and not request.kind.idempotent:
             return
         self._attempt(request)
+
+
+def _most_attempts(request: workload.Request) -> int:
+    return _CRASHING_ATTEMPTS if request.crashes else MAX_ATTEMPTS
--- a/medlardoor/bench/cases.py
+++ b/medlardoor/bench/cases.py
@@ -87,6 +87,7 @@
         available: Share of the instances that run at a time.
         prepare: Schedules the faults.
         report_fault: What is wrong with load reports, or None.
+        crashing_at_s: When a request that crashes upstreams is sent first.
         seed: Seed of all random numbers.
         begin_s: Begin of the overload, in seconds.
     """
@@ -100,6 +101,7 @@
     available: abc.Callable[[float], float] = lambda at: 1.0
     prepare: abc.Callable[[fakes.World], None] = lambda world: None
     report_fault: messages.ReportFault | None = None
+    crashing_at_s: float | None = None
     seed: int = _SEED
     begin_s: float = _BEGIN_S
 
@@ -220,6 +222,15 @@
     )
 
 
+def _crashing(company: workload.Company) -> Case:
+    return Case(
+        f"{company.name}-crashing-request",
+        company,
+        lambda at: _NORMAL,
+        crashing_at_s=_BEGIN_S + 5.0,
+    )
+
+
 def _all_cases() -> dict[str, Case]:
     cases = {}
     for company in (DERWENT, KAVANGO):
@@ -230,6 +241,7 @@
             _domain_lost(company),
             _cold(company),
             _lying(company),
+            _crashing(company),
         ):
             cases[case.name] = case
     return cases
--- a/medlardoor/bench/controlled.py
+++ b/medlardoor/bench/controlled.py
@@ -7,10 +7,9 @@
 from medlardoor import errors
 from medlardoor.admission import controller as admission_module
 from medlardoor.admission import levels
-from medlardoor.bench import fakes, workload
+from medlardoor.bench import crashes, fakes, workload
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
-from medlardoor.config import policy as policy_module
 from medlardoor.config import settings as settings_module
 from medlardoor.node import context
 from medlardoor.retries import budget as budget_module
@@ -44,7 +43,7 @@
         self.board = board_module.Blackboard(
             self.name, self.spec.name, f"domain-{self.index}"
         )
-        self.board.policy.policy = _policy(self._world.company)
+        self.board.policy.policy = workload.policy_of(self._world.company)
         self.board.membership.state = topics.MemberState.SERVING
         self.admission = admission_module.AdmissionController(
             settings_module.AdmissionSettings(), self.board, generator
@@ -55,6 +54,7 @@
         self._paths = path_module.PathController(self.board)
         self._throttle = throttle_module.RetryThrottle()
         self._retries = retry_module.RetryPolicy(self._throttle, generator)
+        self._gate = crashes.SuspectGate()
         self._outgoing: dict[fakes.Call, topics.Member] = {}
         self._calls: dict[int, fakes.Call] = {}
         self._budgets: dict[int, budget_module.RetryBudget] = {}
@@ -132,7 +132,18 @@
             if facts.level < path_level:
                 self._refuse(call, self.admission.refusal(facts))
                 return
-        decision = self.admission.offer(facts, now)
+        self._check_suspect(call)
+
+    def _check_suspect(self, call: fakes.Call) -> None:
+        rule = self._crash_rule()
+        if rule.is_quarantined(call.request):
+            reason = errors.Reason.QUARANTINED
+            self._refuse(call, self.admission.refusal(call.context, reason))
+        elif not rule.is_suspect(call.request) or self._gate.enter(call):
+            self._offer(call)
+
+    def _offer(self, call: fakes.Call) -> None:
+        decision = self.admission.offer(call.context, self._world.simulator.now)
         if isinstance(decision, admission_module.Admitted):
             self._run(call)
         elif isinstance(decision, admission_module.Refused):
@@ -147,6 +158,9 @@
         """Frees the slot of a call and answers it."""
         now = self._world.simulator.now
         facts = call.context
+        if reply.outcome is ANSWERED:
+            self._crash_rule().succeeded(call.request)
+        self._leave_gate(call)
         self._calls.pop(facts.call_id, None)
         for child in call.children:
             member = self._outgoing.pop(child, None)
@@ -170,6 +184,25 @@
             )
         self._act(self.admission.finish(facts.call_id, completion, now))
 
+    def answer(self, call: fakes.Call, reply: fakes.Reply) -> None:
+        """Sends the reply and lets the next suspect through."""
+        super().answer(call, reply)
+        self._leave_gate(call)
+
+    def _leave_gate(self, call) -> None:
+        waiting = self._gate.leave(call)
+        if waiting is not None and waiting in self.active:
+            self._world.simulator.after(0.0, self._admit_again, waiting)
+
+    def _admit_again(self, call) -> None:
+        if call in self.active:
+            self._check_suspect(call)
+
+    def _crash_rule(self) -> crashes.CrashRule:
+        return self._world.crash_rules.setdefault(
+            self.spec.name, crashes.CrashRule()
+        )
+
     def fail(self) -> None:
         """Ends node and upstream."""
         super().fail()
@@ -184,6 +217,7 @@
             self._start()
             self.publish()
         self.upstream.restarted_at = now
+        self._crash_rule().crashed(list(self.upstream.running))
         self.admission.restart_upstream(now)
         for call in [*self.upstream.waiting, *self.upstream.running]:
             for child in call.children:
@@ -270,7 +304,7 @@
         )
         handed = copy.copy(facts)
         handed.handed_over = True
-        handed.budget = self._reserve(call)
+        handed.budget = self._budgets[facts.call_id].reserve()
         self._send(call, member, handed, call.hop, on_reply)
 
     def _handed_over(self, call, refusal, tried, member, reply) -> None:
@@ -288,6 +322,8 @@
         self.answer(call, dataclasses.replace(reply, unspent=budget.remaining))
 
     def _try(self, call, tried) -> None:
+        if call not in self.active:
+            return
         now = self._world.simulator.now
         service = call.request.kind.path[call.hop + 1]
         picked = self._picker.pick(service, call.context, tried, now)
@@ -300,7 +336,7 @@
         facts = copy.copy(call.context)
         facts.handed_over = False
         facts.depth += 1
-        facts.budget = self._reserve(call)
+        facts.budget = self._budgets[facts.call_id].reserve()
         on_reply = functools.partial(
             self._child_replied, call, (*tried, member.instance), member
         )
@@ -348,18 +384,11 @@
         if isinstance(decision, retry_module.Retry):
             call.request.retries += 1
             self._world.simulator.after(
-                decision.delay_s, self._retry, call, tried
+                decision.delay_s, self._try, call, tried
             )
             return
         self.complete(call, fakes.Reply(reply.outcome, reply.reason))
 
-    def _retry(self, call, tried) -> None:
-        if call in self.active:
-            self._try(call, tried)
-
-    def _reserve(self, call) -> int:
-        return self._budgets[call.context.call_id].reserve()
-
     def _settle(self, call, member, reply) -> budget_module.RetryBudget:
         refused = reply.reason is errors.Reason.NODE_UNREACHABLE
         self._outgoing.pop(call.children[0], None)
@@ -368,12 +397,3 @@
         share = call.children[0].context.budget
         budget.give_back(share if refused else reply.unspent, share)
         return budget
-
-
-def _policy(company: workload.Company) -> policy_module.Policy:
-    services = {
-        name: policy_module.ServicePolicy(slots=spec.slots)
-        for name, spec in company.services.items()
-    }
-    classes = tuple(kind.name for kind in company.kinds)
-    return policy_module.Policy(company.name, classes, {}, services)
--- a/medlardoor/bench/fakes.py
+++ b/medlardoor/bench/fakes.py
@@ -159,7 +159,13 @@
         self._world.simulator.after(call.own_s, self._worked, call)
 
     def _worked(self, call: Call) -> None:
-        if call in self.running:
+        if call not in self.running:
+            return
+        bottleneck = self._world.company.bottleneck
+        if call.request.crashes and call.service == bottleneck:
+            self._world.recorder.crashed()
+            call.instance.restart()
+        else:
             call.instance.worked(call)
 
 
@@ -279,6 +285,7 @@
         self.generator = random.Random(seed)
         self.instances: dict[str, list[Instance]] = {}
         self.recorder = None
+        self.crash_rules: dict = {}
         self.propagates_cancellation = True
 
     def build(self, make: collections_abc.Callable) -> None:
--- a/medlardoor/bench/measures.py
+++ b/medlardoor/bench/measures.py
@@ -56,6 +56,7 @@
         retries_most: Most retries of the system in one request.
         disorder: Time in which a lower rank was admitted although a higher
             one had been refused for longer than the bound, in seconds.
+        crashes: Crashes of upstreams.
     """
 
     goodput: float
@@ -66,6 +67,7 @@
     retries_mean: float
     retries_most: int
     disorder: float
+    crashes: int
 
 
 class Recorder:
@@ -89,6 +91,7 @@
         self._refused: dict[int, int] = {}
         self._goodput = 0.0
         self._arrivals = 0
+        self._crashes = 0
         self.samples: list[Sample] = []
 
     def start(self) -> None:
@@ -119,6 +122,10 @@
         rank = call.request.kind.rank
         self._refused[place] = max(rank, self._refused.get(place, rank))
 
+    def crashed(self) -> None:
+        """Notes a crash of an upstream."""
+        self._crashes += 1
+
     def figures(self, possible: float) -> Figures:
         """Evaluates the run.
 
@@ -141,6 +148,7 @@
             retries_mean=sum(retries) / len(retries),
             retries_most=max(retries),
             disorder=self._disorder(),
+            crashes=self._crashes,
         )
 
     def _answered_weight(self) -> float:
--- a/medlardoor/bench/run.py
+++ b/medlardoor/bench/run.py
@@ -173,7 +173,8 @@
         f" recovery {figures.recovery_s:.2f} s"
         f" wasted {figures.wasted:.4f}"
         f" retries {figures.retries_mean:.3f}/{figures.retries_most}"
-        f" disorder {figures.disorder:.2f} s\n"
+        f" disorder {figures.disorder:.2f} s"
+        f" crashes {figures.crashes}\n"
         f"              refused: {refusals}"
     )
 
--- a/medlardoor/bench/runner.py
+++ b/medlardoor/bench/runner.py
@@ -60,7 +60,10 @@
         messages.connect(world, case.report_fault)
     world.recorder.start()
     case.prepare(world)
-    callers.Callers(world, case.rate, is_controlled).start()
+    senders = callers.Callers(world, case.rate, is_controlled)
+    senders.start()
+    if case.crashing_at_s is not None:
+        world.simulator.after(case.crashing_at_s, senders.send_crashing)
     world.simulator.run(case.end_s + case.after_s)
     figures = world.recorder.figures(possible.possible_goodput(case))
     return figures, world.recorder.samples
--- a/medlardoor/bench/workload.py
+++ b/medlardoor/bench/workload.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-__all__ = ["Company", "KindSpec", "Request", "ServiceSpec"]
+from medlardoor.config import policy as policy_module
+
+__all__ = ["Company", "KindSpec", "Request", "ServiceSpec", "policy_of"]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +87,7 @@
         runs: Successful runs by service.
         work_s: Upstream time spent on it, in seconds.
         useful_s: Upstream time of the attempt that was answered, in seconds.
+        crashes: Whether it crashes upstreams of the bottleneck service.
     """
 
     kind: KindSpec
@@ -97,6 +100,7 @@
     runs: dict[str, int] = dataclasses.field(default_factory=dict)
     work_s: float = 0.0
     useful_s: float = 0.0
+    crashes: bool = False
 
     @property
     def is_good(self) -> bool:
@@ -104,3 +108,17 @@
         if self.answered_at is None:
             return False
         return self.kind.idempotent or max(self.runs.values()) == 1
+
+
+def policy_of(company: Company) -> policy_module.Policy:
+    """Document that a company would promote.
+
+    Args:
+        company: The workload.
+    """
+    services = {
+        name: policy_module.ServicePolicy(slots=spec.slots)
+        for name, spec in company.services.items()
+    }
+    classes = tuple(kind.name for kind in company.kinds)
+    return policy_module.Policy(company.name, classes, {}, services)
