Leave silent peers out of the path level

Cause: the record of a peer that died while serving kept the path level low until the peer was removed. Change: records older than 3 s do not count; path_level takes the time.

--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -312,22 +312,27 @@
     def _refuse(self, call, reason) -> Refused:
         return Refused(self.refusal(call, reason))
 
-    @property
-    def path_level(self) -> int:
+    def path_level(self, now: float) -> int:
         """Level to report to callers of this service.
 
         A call that is refused here is forwarded to a peer with a lower level,
         and members above the level of a call are not selected. So callers
         are told the lowest level of the service and not the one of this
         node, but never less than the floor from refusals.
+
+        Args:
+            now: Current time, in seconds.
         """
         lowest = self._level.value
         rank = lowest // levels.LEVELS_PER_RANK
         for member in self._board.membership.members.values():
-            serving = member.state is topics.MemberState.SERVING
+            if member.state is not topics.MemberState.SERVING:
+                continue
+            if now - member.heard_at > refusals.RECORD_MAX_AGE_S:
+                continue
             # Only changes by a full rank are pushed: within the same rank
             # the level in a record may be a second old.
-            if serving and member.level // levels.LEVELS_PER_RANK < rank:
+            if member.level // levels.LEVELS_PER_RANK < rank:
                 lowest = min(lowest, member.level)
         return max(lowest, self._floor.level)
 
--- a/medlardoor/admission/refusals.py
+++ b/medlardoor/admission/refusals.py
@@ -6,13 +6,13 @@
 from medlardoor.admission import levels
 from medlardoor.blackboard import board as board_module
 
-__all__ = ["RefusedRanks", "RetryHints"]
+__all__ = ["RECORD_MAX_AGE_S", "RefusedRanks", "RetryHints"]
 
 # A refusal of a rank keeps lower ranks out for this time.
 _HOLD_S = 1.0
 
-# A peer's record that is older says nothing about its last second.
-_RECORD_MAX_AGE_S = 3.0
+# A peer's record that is older says nothing about its present state.
+RECORD_MAX_AGE_S = 3.0
 
 _MIN_HINT_S = 0.05
 _MAX_HINT_S = 10.0
@@ -60,7 +60,7 @@
         """
         rank = self.own_rank(now)
         for member in self._board.membership.members.values():
-            if now - member.heard_at <= _RECORD_MAX_AGE_S:
+            if now - member.heard_at <= RECORD_MAX_AGE_S:
                 rank = max(rank, member.refused_rank)
         self._level = max(0, rank * levels.LEVELS_PER_RANK)
 
--- a/medlardoor/admission/tests/test_controller.py
+++ b/medlardoor/admission/tests/test_controller.py
@@ -234,9 +234,10 @@
 def test_path_level_follows_a_peer_with_room(level):
     """Callers that are refused at the entry although a peer has room."""
     node = Node()
-    node.board.membership.members["a-2"] = topics.Member(
+    peer = topics.Member(
         "a-2", "a", 1, state=topics.MemberState.SERVING, level=level
     )
+    node.board.membership.members["a-2"] = peer
     for _ in range(100):
         for _ in range(8):
             node.offer(node.call(1))
@@ -246,7 +247,9 @@
     floor = 128 * max(0, node.board.limits.refused_rank)
     # Within a rank the record of a peer is too old to be used.
     expected = own if level >= 128 else max(level, floor)
-    assert node.controller.path_level == expected
+    assert node.controller.path_level(node.now) == expected
+    # The record of a peer that has gone silent does not count either.
+    assert node.controller.path_level(node.now + 3.1) == max(own, floor)
 
 
 def test_restart_starts_few_of_those_that_wait():
--- a/medlardoor/bench/controlled.py
+++ b/medlardoor/bench/controlled.py
@@ -168,7 +168,7 @@
                 self._picker.finished(member, True, now)
         budget = self._budgets.pop(facts.call_id, None)
         unspent = budget.remaining if budget else 0
-        level = max(self.admission.path_level, self._below(call))
+        level = self._path_level(call)
         reply = dataclasses.replace(reply, unspent=unspent, path_level=level)
         self.answer(call, reply)
         if reply.reason is errors.Reason.UPSTREAM_UNAVAILABLE:
@@ -227,10 +227,10 @@
             )
             self.complete(call, failure)
 
-    def _below(self, call) -> int:
-        return self._paths.level_for(
-            call.request.kind.name, self._world.simulator.now
-        )
+    def _path_level(self, call) -> int:
+        now = self._world.simulator.now
+        below = self._paths.level_for(call.request.kind.name, now)
+        return max(self.admission.path_level(now), below)
 
     def _root(self, call) -> context.CallContext:
         kind = call.request.kind
@@ -269,7 +269,7 @@
         overload = refusal.reason is errors.Reason.OVERLOAD
         if overload and not call.context.handed_over:
             self._world.recorder.refused(call)
-        level = max(self.admission.path_level, self._below(call))
+        level = self._path_level(call)
         reply = fakes.Reply(
             refusal.outcome,
             refusal.reason,
