--- a/medlardoor/bench/baselines.py
+++ b/medlardoor/bench/baselines.py
@@ -82,6 +82,11 @@
             self._in_flight += 1
             self.dispatch(self._queue.popleft())
 
+    @property
+    def queued(self) -> int:
+        """Calls that wait for a slot, here and in the upstream."""
+        return super().queued + len(self._queue)
+
     def fail(self) -> None:
         """Ends the instance; the queue is lost too."""
         self._queue.clear()
--- a/medlardoor/bench/fakes.py
+++ b/medlardoor/bench/fakes.py
@@ -191,6 +191,11 @@
         self.upstream = FakeUpstream(world, spec)
         self.active: dict[Call, None] = {}
 
+    @property
+    def queued(self) -> int:
+        """Calls that wait for a slot, here and in the upstream."""
+        return len(self.upstream.waiting)
+
     def receive(self, call: Call) -> None:
         """Takes a call from the transport."""
         call.instance = self
--- a/medlardoor/bench/measures.py
+++ b/medlardoor/bench/measures.py
@@ -218,7 +218,7 @@
         limit = 0
         level = 0
         for instance in self._world.instances[company.bottleneck]:
-            queued += len(instance.upstream.waiting)
+            queued += instance.queued
             board = getattr(instance, "board", None)
             if board is not None:
                 queued += board.limits.queued
