Send calls over asyncio protocols instead of httpcore

Cause: httpcore, h11 and the streams of anyio took about half of the processor time of a call in a node (py-spy, closed loop). The tests showed that httpcore takes bytes after the end of an answer for the answer to the next request: HttpTransport now closes such a connection.

--- a/medlardoor/node/assembly.py
+++ b/medlardoor/node/assembly.py
@@ -24,6 +24,7 @@
     gossiping,
     listeners,
     parts,
+    protocol_transport,
     upstream,
 )
 from medlardoor.node import transport as transport_module
@@ -51,8 +52,8 @@
 
     def __init__(self, settings: settings_module.NodeSettings):
         self._store = store_http.HttpObjectStore(settings.store)
-        self._nodes = transport_module.HttpTransport()
-        self._upstream = transport_module.HttpTransport(
+        self._nodes = protocol_transport.ProtocolTransport()
+        self._upstream = protocol_transport.ProtocolTransport(
             settings.upstream.max_connections
         )
 
--- /dev/null
+++ b/medlardoor/node/tests/scripted_server.py
@@ -0,0 +1,53 @@
+"""HTTP server for tests whose answers are raw bytes."""
+
+import asyncio
+import contextlib
+
+from medlardoor.node import transport
+
+
+class ScriptedServer:
+    """Server on loopback that sends what `answer` gives for a request.
+
+    Args:
+        answer: Called with head and number of the connection; gives raw
+            bytes, and None in the list to close the connection.
+    """
+
+    def __init__(self, answer):
+        self._answer = answer
+        self._writers = []
+        self.heads = []
+        self.open_connections = 0
+
+    @property
+    def connections(self):
+        return len(self._writers)
+
+    @contextlib.asynccontextmanager
+    async def serve(self):
+        server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        try:
+            yield transport.Address(host, port)
+        finally:
+            server.close()
+            for writer in self._writers:
+                writer.close()
+
+    async def _handle(self, reader, writer):
+        self._writers.append(writer)
+        self.open_connections += 1
+        number = len(self._writers)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(head)
+                for part in self._answer(head, number):
+                    if part is None:
+                        writer.close()
+                        break
+                    writer.write(part)
+                    await writer.drain()
+        self.open_connections -= 1
+        writer.close()
--- a/medlardoor/node/transport.py
+++ b/medlardoor/node/transport.py
@@ -199,7 +199,11 @@
     ) -> None:
         """Keeps a connection for reuse if it is idle, else closes it."""
         connections = self._idle.setdefault(address, [])
-        if connection.is_idle() and len(connections) < self._max_idle:
+        if (
+            connection.is_idle()
+            and not _has_surplus(connection)
+            and len(connections) < self._max_idle
+        ):
             connections.append(connection)
             return
         await _close(connection)
@@ -252,6 +256,16 @@
             await self._transport.put_back(self._address, self._connection)
 
 
+def _has_surplus(connection: httpcore.AsyncHTTPConnection) -> bool:
+    """Whether more bytes were received than belong to the answer.
+
+    httpcore takes them for the answer to the next request on the connection
+    and has no public attribute that shows them.
+    """
+    inner = connection._connection
+    return inner is not None and bool(inner._h11_state.trailing_data[0])
+
+
 async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
     with anyio.CancelScope(shield=True):
         await connection.aclose()
