Measure refused calls at 1,500 a second

Cause: a node once lagged by a second at this rate, and the command only had 62 a second and closed loops. Change: call_cost has an open loop of 1,500 refused calls a second.

--- a/medlardoor/bench/call_cost.py
+++ b/medlardoor/bench/call_cost.py
@@ -26,6 +26,8 @@
 
 # 580,000 calls a second at 9,400 nodes.
 RATE_PER_S = 62
+# Refused requests at which the event loop of a node once lagged by a second.
+SURGE_PER_S = 1_500
 CONCURRENCIES = (1, 4, 16)
 REFUSED_CONCURRENCIES = (1, 16)
 WARM_UP_CALLS = 300
@@ -163,13 +165,18 @@
 
 
 async def _measure_open_loop(
-    pool: connections.ConnectionPool, route: Route, duration_s: float
+    pool: connections.ConnectionPool,
+    route: Route,
+    duration_s: float,
+    rate: float = RATE_PER_S,
 ) -> Figures:
     client = _Client(pool, route)
     processor_s = _processor_s(route.process_ids)
-    await client.send_open_loop(RATE_PER_S, duration_s)
+    began = time.perf_counter()
+    await client.send_open_loop(rate, duration_s)
+    took_s = time.perf_counter() - began
     processor_s = _processor_s(route.process_ids) - processor_s
-    return client.figures(f"{RATE_PER_S}/s alone", duration_s, processor_s)
+    return client.figures(f"{rate}/s alone", took_s, processor_s)
 
 
 async def _measure_closed_loop(
@@ -232,7 +239,9 @@
                 pool.exchange, world.full, hold, world_module.HOLD_MS / 1_000
             )
         await anyio.sleep(SETTLE_S)
-        rows.append(await _measure_open_loop(pool, route, duration_s))
+        for rate in (RATE_PER_S, SURGE_PER_S):
+            row = await _measure_open_loop(pool, route, duration_s, rate)
+            rows.append(row)
         for concurrency in REFUSED_CONCURRENCIES:
             row = await _measure_closed_loop(
                 pool, route, concurrency, duration_s
