Bound heads, bodies, connections and messages of bad callers

Cause: uvicorn's httptools protocol accepts request heads of any size and waits for them without limit. A gossip record with a host name raised ValueError out of the gossip task and ended the node. Absurd values of a call context raised (status 500) or were served; the base64 of a header had many forms; a recorded context ran an order again. A report without a start id counted as a crash of the upstream, and deeply nested JSON in a report ended the node. A shed answer counted as not-run while a child call was still in progress or its answer had been cut.

Change: a protocol class with limits on heads, trailers, pipelined requests, connections, and on the time without progress; checks of all values of a context; strict base64; a filter for repeated contexts of calls that are not idempotent; numeric addresses in gossip records; the outcome of a shed call takes children in progress into account.

--- a/medlardoor/config/models.py
+++ b/medlardoor/config/models.py
@@ -11,10 +11,12 @@
 
 __all__ = [
     "MAX_AUTHOR_CHARACTERS",
+    "MAX_CLASSES",
     "MAX_EARLIER",
     "MAX_KINDS",
     "MAX_NOTE_CHARACTERS",
     "MAX_RETRY_BUDGET",
+    "MAX_TIMEOUT_MS",
     "DocumentModel",
     "KindModel",
     "MatchModel",
--- a/medlardoor/config/settings.py
+++ b/medlardoor/config/settings.py
@@ -8,6 +8,7 @@
     "AdmissionSettings",
     "GossipSettings",
     "LedgerSettings",
+    "ListenerSettings",
     "NodeSettings",
     "OperatorSettings",
     "PromotionSettings",
@@ -31,6 +32,19 @@
     port: int = pydantic.Field(default=0, ge=0, le=65_535)
 
 
+class ListenerSettings(Settings):
+    """Limits of each HTTP listener.
+
+    Further connections are closed at once. `idle_timeout_s` ends a request
+    whose body, or an answer whose reader, makes no progress.
+    """
+
+    max_connections: int = pydantic.Field(default=2_048, ge=1)
+    max_head_bytes: int = pydantic.Field(default=32_768, ge=1_024)
+    head_timeout_s: float = pydantic.Field(default=10.0, gt=0)
+    idle_timeout_s: float = pydantic.Field(default=30.0, gt=0)
+
+
 class UpstreamSettings(Settings):
     """The upstream that the node stands beside."""
 
@@ -137,6 +151,7 @@
     egress: AddressSettings = AddressSettings()
     gossip: AddressSettings = AddressSettings()
     admin: AdminSettings = AdminSettings()
+    listeners: ListenerSettings = ListenerSettings()
     upstream: UpstreamSettings
     store: StoreSettings = StoreSettings()
     seed_addresses: tuple[str, ...] = ()
--- a/medlardoor/membership/records.py
+++ b/medlardoor/membership/records.py
@@ -1,5 +1,7 @@
 """Conversion between members and the records of a digest."""
 
+import ipaddress
+
 from medlardoor.blackboard import topics
 from medlardoor.wire import codec
 from medlardoor.wire.generated.medlardoor_messages import ttypes
@@ -103,8 +105,19 @@
     names = (record.instance, record.host)
     if not all(name and len(name) <= _MAX_NAME_LENGTH for name in names):
         return False
+    if not _is_address(record.host):
+        return False
     counters = (record.incarnation, record.heartbeat)
     if not all(n is not None and 0 <= n < _MAX_INT64 for n in counters):
         return False
     ports = (record.peer_port, record.gossip_port)
     return all(n is not None and 0 <= n <= _MAX_PORT for n in ports)
+
+
+def _is_address(host: str) -> bool:
+    """Whether a host is an IP address; names would need a resolver."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
--- a/medlardoor/node/calls.py
+++ b/medlardoor/node/calls.py
@@ -22,6 +22,7 @@
         token: Opaque token that the upstream copies to its outgoing calls.
         child_ran: Whether a child call was run or may have been run.
         path_level: Highest admission level that child calls met.
+        children: Child calls in progress; their outcome is still open.
     """
 
     call: context.CallContext
@@ -29,6 +30,12 @@
     token: str = ""
     child_ran: bool = False
     path_level: int = 0
+    children: int = 0
+
+    @property
+    def may_have_children(self) -> bool:
+        """Whether a child call was run, may have been run or may yet run."""
+        return self.child_ran or self.children > 0
 
     def take_unspent(self) -> int:
         """Takes all retries that are left, so that none is spent later."""
--- a/medlardoor/node/egress.py
+++ b/medlardoor/node/egress.py
@@ -70,16 +70,12 @@
             return
         outgoing = prepared.ok()
         try:
-            ended = await self._run(outgoing)
+            ended = await self._run_as_child(outgoing)
         except exchange.CallerGone:
-            # The upstream gave up; the call may have been dispatched.
-            outgoing.parent.record_child(errors.Outcome.UNKNOWN)
             return
         if ended.is_ok():
-            outgoing.parent.record_child(errors.Outcome.ANSWERED)
             return
         refusal = ended.err()
-        outgoing.parent.record_child(refusal.outcome)
         call = outgoing.call
         logs.log_event(
             _LOG,
@@ -177,6 +173,27 @@
                 return kind.idempotent
         return request.method in _IDEMPOTENT_METHODS
 
+    async def _run_as_child(self, outgoing: _Outgoing) -> Ended:
+        """Runs the call and notes its outcome at its parent.
+
+        Raises:
+            exchange.CallerGone: If the upstream closed the connection.
+            exchange.TruncatedAnswer: If a started answer ended early.
+        """
+        parent = outgoing.parent
+        # Without an answer the call may have been dispatched all the same.
+        outcome = errors.Outcome.UNKNOWN
+        parent.children += 1
+        try:
+            ended = await self._run(outgoing)
+            outcome = errors.Outcome.ANSWERED
+            if ended.is_err():
+                outcome = ended.err().outcome
+            return ended
+        finally:
+            parent.children -= 1
+            parent.record_child(outcome)
+
     async def _run(self, outgoing: _Outgoing) -> Ended:
         with anyio.CancelScope(deadline=outgoing.call.deadline):
             return await exchange.run_while_connected(
--- a/medlardoor/node/executor.py
+++ b/medlardoor/node/executor.py
@@ -194,6 +194,8 @@
                     ended.ok(), errors.Outcome.ANSWERED
                 )
                 return result.Ok(None)
+            # No child call may start once the outcome is decided.
+            node.registry.close(work.active)
             refusal = await self._failed(work, ended.err())
             completion = admission_controller.Completion(
                 anyio.current_time() - started_at,
@@ -225,6 +227,10 @@
         failure: errors.Refusal | transport_module.TransportFailure,
     ) -> errors.Refusal:
         if isinstance(failure, errors.Refusal):
+            if work.active.may_have_children:
+                return dataclasses.replace(
+                    failure, outcome=errors.Outcome.UNKNOWN
+                )
             return failure
         # The probe decides whether this was a crash while all calls that were
         # in flight are still known to the quarantine controller.
--- a/medlardoor/node/forwarding.py
+++ b/medlardoor/node/forwarding.py
@@ -4,8 +4,10 @@
 import result
 
 from medlardoor import errors
+from medlardoor.admission import levels
 from medlardoor.blackboard import topics
-from medlardoor.node import context, exchange
+from medlardoor.config import models
+from medlardoor.node import arrival, context, exchange
 from medlardoor.node import transport as transport_module
 from medlardoor.wire import authentication, codec
 from medlardoor.wire.generated.medlardoor_messages import ttypes
@@ -20,6 +22,18 @@
     "result_header",
 ]
 
+# Greatest values of a context. A retry budget in the millions would also take
+# the node seconds to return.
+_GREATEST = {
+    "rank": models.MAX_CLASSES - 1,
+    "level": models.MAX_CLASSES * levels.LEVELS_PER_RANK - 1,
+    "deadline_ms": models.MAX_TIMEOUT_MS,
+    "max_wait_ms": models.MAX_TIMEOUT_MS,
+    "budget": models.MAX_RETRY_BUDGET,
+    "depth": context.MAX_DEPTH,
+    "document_version": 2**63 - 1,
+}
+
 CONTEXT_HEADER = b"medlardoor-context"
 RESULT_HEADER = b"medlardoor-result"
 
@@ -65,9 +79,9 @@
     if decoded.is_err():
         return decoded
     struct = decoded.ok()
-    required = (struct.chain_id, struct.kind, struct.level, struct.deadline_ms)
-    if any(field is None for field in required):
-        return result.Err(codec.MalformedMessage("missing field"))
+    fault = _fault_of(struct)
+    if fault is not None:
+        return result.Err(codec.MalformedMessage(fault))
     return result.Ok(
         context.CallContext(
             chain_id=struct.chain_id,
@@ -89,6 +103,24 @@
     )
 
 
+def _fault_of(struct: ttypes.CallContext) -> str | None:
+    """What is wrong with a context, or None."""
+    required = (struct.chain_id, struct.kind, struct.level, struct.deadline_ms)
+    if any(field is None for field in required):
+        return "missing field"
+    if len(struct.chain_id) != arrival.CHAIN_ID_BYTES:
+        return "chain id of a wrong length"
+    for name, greatest in _GREATEST.items():
+        value = getattr(struct, name)
+        if value is not None and not 0 <= value <= greatest:
+            return f"{name} out of range"
+    texts = (struct.team, struct.kind, struct.key, struct.entry_service)
+    # The decoder puts this character in the place of invalid UTF-8.
+    if any("\ufffd" in (text or "") for text in texts):
+        return "text that is not UTF-8"
+    return None
+
+
 def result_header(
     call_result: context.CallResult, key: authentication.ClusterKey
 ) -> bytes:
--- a/medlardoor/node/gossiping.py
+++ b/medlardoor/node/gossiping.py
@@ -138,7 +138,8 @@
         try:
             async with self._send_lock:
                 await self._udp.sendto(data, host, port)
-        except OSError as error:
+        except (OSError, ValueError) as error:
+            # uvloop raises ValueError for an address that is not numeric.
             logs.log_event(
                 _LOG,
                 logbook.WARNING,
--- a/medlardoor/node/ingress.py
+++ b/medlardoor/node/ingress.py
@@ -20,6 +20,7 @@
     keyed,
     parts,
     problems,
+    replays,
 )
 from medlardoor.retries import budget as budget_module
 
@@ -257,6 +258,15 @@
 class PeerApp(_IngressApp):
     """ASGI application for calls from other nodes."""
 
+    def __init__(
+        self,
+        node: parts.NodeParts,
+        runner: executor.Executor,
+        keyed_calls: keyed.KeyedCalls,
+    ):
+        super().__init__(node, runner, keyed_calls)
+        self._replays = replays.ReplayFilter()
+
     async def __call__(self, scope, receive, send) -> None:
         """Handles one call."""
         if scope["type"] != "http":
@@ -280,8 +290,18 @@
             logs.log_event(_LOG, logbook.WARNING, "context_invalid")
             await problems.send_problem(reply, refusal)
             return
+        call = decoded.ok()
+        value = request.header(forwarding.CONTEXT_HEADER)
+        if not call.idempotent and not self._replays.is_new(value, now):
+            refusal = errors.Refusal(
+                errors.Outcome.UNKNOWN,
+                errors.Reason.INVALID_REQUEST,
+                "The call was received before.",
+            )
+            await problems.send_problem(reply, refusal)
+            return
         try:
-            await self._serve(decoded.ok(), request, body, reply)
+            await self._serve(call, request, body, reply)
         except exchange.CallerGone:
             return
 
--- a/medlardoor/node/listeners.py
+++ b/medlardoor/node/listeners.py
@@ -17,13 +17,15 @@
     """
 
     def __init__(self, settings: settings_module.NodeSettings):
-        self._caller = servers.HttpListener(settings.caller)
-        self._peer = servers.HttpListener(settings.peer)
-        self._egress = servers.HttpListener(settings.egress)
+        limits = settings.listeners
+        self._caller = servers.HttpListener(settings.caller, limits)
+        self._peer = servers.HttpListener(settings.peer, limits)
+        self._egress = servers.HttpListener(settings.egress, limits)
         self._admin = servers.HttpListener(
             settings_module.AddressSettings(
                 host=settings.admin.host, port=settings.admin.port
-            )
+            ),
+            limits,
         )
         self._gossip = _bind_datagram_socket(settings.gossip)
 
--- a/medlardoor/node/problems.py
+++ b/medlardoor/node/problems.py
@@ -35,13 +35,22 @@
     return _STATUS.get(refusal.reason, DEFAULT_STATUS)
 
 
-def problem_body(refusal: errors.Refusal, chain_id: bytes, kind: str) -> bytes:
-    """JSON body of a refusal."""
+def problem_body(
+    refusal: errors.Refusal, chain_id: bytes, kind: str, status: int = 0
+) -> bytes:
+    """JSON body of a refusal.
+
+    Args:
+        refusal: What to tell the caller.
+        chain_id: Identifier of the chain.
+        kind: Kind of request, or the empty string.
+        status: HTTP status, if it is not the usual one of the reason.
+    """
     return json.dumps(
         {
             "type": TYPE_PREFIX + refusal.reason.value,
             "title": refusal.reason.value.replace("_", " ").capitalize(),
-            "status": status_of(refusal),
+            "status": status or status_of(refusal),
             "detail": refusal.message,
             "outcome": refusal.outcome.value,
             "reason": refusal.reason.value,
--- /dev/null
+++ b/medlardoor/node/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the node process."""
--- a/medlardoor/node/upstream.py
+++ b/medlardoor/node/upstream.py
@@ -22,6 +22,7 @@
 TRACE_HEADER = b"traceparent"
 MAX_REPORT_BYTES = 4_096
 MAX_RETRY_AFTER_S = 60
+MAX_DIGITS = 9
 
 _LOG = logbook.Logger("medlardoor.upstream")
 
@@ -136,12 +137,18 @@
     if value != errors.Outcome.NOT_RUN.value.encode():
         return None
     outcome = (
-        errors.Outcome.UNKNOWN if active.child_ran else errors.Outcome.NOT_RUN
+        errors.Outcome.UNKNOWN
+        if active.may_have_children
+        else errors.Outcome.NOT_RUN
     )
     retry_after = exchange.header_value(response.headers, b"retry-after")
     retry_after_ms = 0
     if retry_after is not None and retry_after.isdigit():
-        retry_after_ms = min(int(retry_after), MAX_RETRY_AFTER_S) * 1_000
+        # Python refuses to convert numbers of thousands of digits.
+        seconds = int(retry_after[-MAX_DIGITS:])
+        if len(retry_after) > MAX_DIGITS:
+            seconds = MAX_RETRY_AFTER_S
+        retry_after_ms = min(seconds, MAX_RETRY_AFTER_S) * 1_000
     return errors.Refusal(
         outcome,
         errors.Reason.UPSTREAM_SHED,
@@ -226,6 +233,8 @@
             return result.Ok(LoadReport.model_validate(json.loads(body)))
         except (
             exchange.TruncatedAnswer,
+            # Deeply nested JSON.
+            RecursionError,
             ValueError,
             pydantic.ValidationError,
         ):
@@ -244,7 +253,9 @@
                 self._note_stop(load)
             load.upstream_state = topics.UpstreamState.DOWN
             return
-        restarted = load.start_id and report.start_id != load.start_id
+        # A report without an identifier says nothing about a restart.
+        start_id = report.start_id or load.start_id
+        restarted = load.start_id and start_id != load.start_id
         if restarted and load.upstream_state is topics.UpstreamState.SERVING:
             self._on_crash()
         if load.upstream_state is not topics.UpstreamState.UNKNOWN and (
@@ -252,7 +263,7 @@
         ):
             logs.log_event(_LOG, logbook.INFO, "upstream_started")
             self._on_start()
-        load.start_id = report.start_id
+        load.start_id = start_id
         load.reported_slots = report.slots
         load.reported_in_use = report.in_use
         load.report_at = anyio.current_time()
--- a/medlardoor/wire/codec.py
+++ b/medlardoor/wire/codec.py
@@ -115,10 +115,16 @@
         return result.Err(MalformedMessage("too long"))
     body, _, mac = value.partition(b".")
     try:
-        data = base64.urlsafe_b64decode(body)
-        code = base64.urlsafe_b64decode(mac)
+        # One message has one form; characters outside the alphabet would
+        # otherwise be skipped.
+        data = base64.b64decode(body, altchars=b"-_", validate=True)
+        code = base64.b64decode(mac, altchars=b"-_", validate=True)
     except binascii.Error:
         return result.Err(MalformedMessage("not base64"))
+    if base64.urlsafe_b64encode(data) + b"." + base64.urlsafe_b64encode(
+        code
+    ) != bytes(value):
+        return result.Err(MalformedMessage("not canonical"))
     if not key.verify(data, code):
         return result.Err(MalformedMessage("wrong MAC"))
     return decode(struct_type, data)
