--- a/medlardoor/node/executor.py
+++ b/medlardoor/node/executor.py
@@ -255,6 +255,8 @@
         node = self._node
         call = work.active.call
         tried = {node.board.instance}
+        # An earlier attempt of unknown outcome makes the whole call unknown.
+        in_doubt = refusal.outcome is errors.Outcome.UNKNOWN
         for _ in range(MAX_HANDOVERS):
             if not self._may_hand_over(work, refusal, tried):
                 break
@@ -268,10 +270,14 @@
             if ended.is_ok() or work.reply.started:
                 return ended
             refusal = ended.err()
-            if refusal.outcome is errors.Outcome.NOT_RUN:
-                work.dispatched = False
-            elif not call.idempotent:
+            in_doubt |= refusal.outcome is errors.Outcome.UNKNOWN
+            work.dispatched = in_doubt
+            if in_doubt and not call.idempotent:
                 break
+        if in_doubt:
+            refusal = dataclasses.replace(
+                refusal, outcome=errors.Outcome.UNKNOWN
+            )
         if refusal.reason in _LOAD_REASONS:
             node.admission.report_handoff_failed(
                 call.rank, anyio.current_time()
--- a/medlardoor/node/forwarding.py
+++ b/medlardoor/node/forwarding.py
@@ -1,5 +1,7 @@
 """Sends calls to other nodes and relays their answers."""
 
+import contextlib
+
 import anyio
 import result
 
@@ -18,6 +20,7 @@
     "Forwarder",
     "context_from_header",
     "context_header",
+    "discard_body",
     "relay",
     "result_header",
 ]
@@ -176,6 +179,16 @@
     await reply.end()
 
 
+async def discard_body(response: transport_module.Response) -> None:
+    """Reads a body that is not needed, which keeps the connection reusable.
+
+    A refusal is complete with its headers, so a cut body changes nothing.
+    """
+    with contextlib.suppress(exchange.TruncatedAnswer):
+        async for _ in response.chunks():
+            pass
+
+
 class Forwarder:
     """Sends a call to one node and relays its answer.
 
@@ -264,9 +277,7 @@
         if report.outcome == errors.Outcome.ANSWERED.value:
             await relay(response, reply)
             return report, result.Ok(None)
-        # Reading the problem document keeps the connection reusable.
-        async for _ in response.chunks():
-            pass
+        await discard_body(response)
         return report, result.Err(_reported_refusal(report))
 
 
--- a/medlardoor/node/upstream.py
+++ b/medlardoor/node/upstream.py
@@ -90,8 +90,7 @@
         try:
             refusal = _shed_refusal(active, response)
             if refusal is not None:
-                async for _ in response.chunks():
-                    pass
+                await forwarding.discard_body(response)
                 return result.Err(refusal)
             await forwarding.relay(response, reply)
         finally:
