--- a/medlardoor/node/exchange.py
+++ b/medlardoor/node/exchange.py
@@ -209,14 +209,15 @@
         send: ASGI send function of the request.
         answer_headers: Gives headers to add when an answer of an upstream is
             relayed; called once, at the start of the answer.
-        closing: Whether to ask the caller to close its connection.
+        closing: Tells at the start of the answer whether to ask the caller to
+            close its connection; a planned stop may begin during a request.
     """
 
     def __init__(
         self,
         send: Send,
         answer_headers: typing.Callable[[], Headers] | None = None,
-        closing: bool = False,
+        closing: typing.Callable[[], bool] | None = None,
     ):
         self._send = send
         self._started = False
@@ -276,7 +277,7 @@
         self._status = status
         if self._detached:
             return
-        if self._closing:
+        if self._closing is not None and self._closing():
             headers = [*headers, (b"connection", b"close")]
         await self._send(
             {
--- a/medlardoor/node/ingress.py
+++ b/medlardoor/node/ingress.py
@@ -95,7 +95,7 @@
         if request.path == KEYS_PATH:
             await self._issue_keys(request, body, exchange.Reply(send))
             return
-        reply = exchange.Reply(send, closing=self._closing())
+        reply = exchange.Reply(send, closing=self._closing)
         try:
             await self._serve(request, body, reply)
         except exchange.CallerGone:
@@ -273,7 +273,7 @@
             return
         request = exchange.Request.from_scope(scope)
         body = exchange.RequestBody(receive)
-        reply = exchange.Reply(send, closing=self._closing())
+        reply = exchange.Reply(send, closing=self._closing)
         now = anyio.current_time()
         decoded = forwarding.context_from_header(
             request.header(forwarding.CONTEXT_HEADER) or b"",
--- a/medlardoor/node/protocol.py
+++ b/medlardoor/node/protocol.py
@@ -60,10 +60,12 @@
     def __init__(self, config, server_state, app_state, _loop=None):
         super().__init__(config, server_state, app_state, _loop)
         self._limits: Limits = config.limits
+        self._max_head_bytes = self._limits.settings.max_head_bytes
         self._in_head = True
         self._head_bytes = 0
-        # Bytes received since the last part of a body; chunk extensions and
-        # trailers count too.
+        # Bytes received since the last part of a body: heads that have not
+        # ended, chunk extensions and trailers. One read may hold a head and
+        # a part of its body, so this is judged after parsing.
         self._overhead_bytes = 0
         self._head_started_at: float | None = None
         self._progress_at = 0.0
@@ -109,11 +111,11 @@
             return
         except httptools.HttpParserError:
             status = BAD_REQUEST
-            if self._is_too_large():
+            if self._head_bytes > self._max_head_bytes:
                 status = HEAD_TOO_LARGE
             self._reject(status, "The request is not valid HTTP/1.1.")
             return
-        if self._is_too_large():
+        if self._overhead_bytes > self._max_head_bytes:
             self._reject(HEAD_TOO_LARGE, "The request head is too large.")
         elif len(self.pipeline) > MAX_PIPELINED:
             self._reject(BAD_REQUEST, "Too many pipelined requests.")
@@ -208,14 +210,10 @@
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
-        if self._is_too_large():
+        if self._head_bytes > self._max_head_bytes:
             # The parser turns this into an HttpParserError.
             raise ValueError("head too large")
 
-    def _is_too_large(self) -> bool:
-        greatest = self._limits.settings.max_head_bytes
-        return max(self._head_bytes, self._overhead_bytes) > greatest
-
     def _awaits_body(self) -> bool:
         """Whether the caller, and not this node, delays the body.
 
--- a/medlardoor/node/tests/test_bad_input.py
+++ b/medlardoor/node/tests/test_bad_input.py
@@ -134,6 +134,17 @@
     assert b"not-run" in answer
 
 
+def test_body_does_not_count_as_head(system):
+    """A body that arrives with its head makes the head too large."""
+    for size in (40_000, 300_000):
+        head = b"PUT /uploads HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        head += b"Content-Length: %d\r\n\r\n" % size
+        answer = system_module.raw_exchange(
+            system.ports["caller_port"], head + b"x" * size
+        )
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+
 @pytest.mark.parametrize("extra", [b"1;" + b"e" * 99_000, b"0\r\nA: b\r\n"])
 def test_endless_framing_is_refused(system, extra):
     """Chunk extensions or trailers without end occupy the node."""
