Wait for the upstream's own calls in a planned stop

Cause: calls that an upstream makes on its own account were not counted, so a planned stop of its node could cut them after 5 s.

Change: they are counted as in progress; new ones are refused as leaving once the node refuses work. Child calls of requests in progress go on. The test of pipelined requests counts the answers.

--- a/medlardoor/node/apps.py
+++ b/medlardoor/node/apps.py
@@ -141,4 +141,9 @@
     @property
     def in_progress(self) -> int:
         """Requests and runs that a planned stop must wait for."""
-        return self._caller.count + self._peer_calls.count + self._keyed.running
+        return (
+            self._caller.count
+            + self._peer_calls.count
+            + self._egress.count
+            + self._keyed.running
+        )
--- a/medlardoor/node/egress.py
+++ b/medlardoor/node/egress.py
@@ -9,6 +9,7 @@
 import result
 
 from medlardoor import errors, logs
+from medlardoor.blackboard import topics
 from medlardoor.node import (
     arrival,
     calls,
@@ -26,9 +27,14 @@
 
 _LOG = logbook.Logger("medlardoor.egress")
 
+RETRY_AFTER_MS = 1_000
+
 # Methods that are idempotent by RFC 9110, section 9.2.2.
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 
+# No new chain begins in these phases; a planned stop waits for the others.
+_STOPPED_PHASES = (topics.Phase.REFUSING, topics.Phase.FINISHED)
+
 # A directory read that takes longer than this leaves no time for the call.
 DISCOVERY_WAIT_S = 2.0
 
@@ -124,6 +130,8 @@
     ) -> result.Result[calls.ActiveCall, errors.Refusal]:
         """A call that the upstream makes on its own account."""
         board = self._node.board
+        if board.shutdown.phase in _STOPPED_PHASES:
+            return result.Err(_leaving())
         refusal = arrival.refusal_before_arrival(
             self._node.adoption, keyed=False
         )
@@ -289,6 +297,15 @@
     )
 
 
+def _leaving() -> errors.Refusal:
+    return errors.Refusal(
+        errors.Outcome.NOT_RUN,
+        errors.Reason.LEAVING,
+        "This node is shutting down.",
+        RETRY_AFTER_MS,
+    )
+
+
 def _too_deep() -> errors.Refusal:
     return errors.Refusal(
         errors.Outcome.NOT_RUN,
--- a/medlardoor/node/tests/test_bad_input.py
+++ b/medlardoor/node/tests/test_bad_input.py
@@ -161,8 +161,10 @@
 
 def test_pipelined_requests_are_bounded(system):
     """Thousands of pipelined requests of one connection are kept."""
-    data = b"GET /stock HTTP/1.1\r\nHost: a\r\n\r\n" * 100_000
-    system_module.raw_exchange(system.ports["caller_port"], data)
+    request = b"GET /stock HTTP/1.1\r\nHost: a\r\n"
+    data = (request + b"\r\n") * 2_000 + request + b"Connection: close\r\n\r\n"
+    answer = system_module.raw_exchange(system.ports["caller_port"], data)
+    assert answer.count(b"HTTP/1.1 200 ") < 100
 
 
 def test_error_is_not_part_of_another_answer(system):
--- a/medlardoor/node/tests/test_egress.py
+++ b/medlardoor/node/tests/test_egress.py
@@ -5,6 +5,7 @@
 import result
 
 from medlardoor import errors
+from medlardoor.blackboard import topics
 from medlardoor.node import context, forwarding
 from medlardoor.node.tests import inprocess
 
@@ -192,3 +193,42 @@
     assert child.cut
     assert not child.complete
     assert active.child_ran
+
+
+def _root(node):
+    return inprocess.Caller(node.apps.egress, "GET", "/stock", host="order")
+
+
+@inprocess.test
+async def test_own_call_of_the_upstream_delays_the_stop(node):
+    """A planned stop cuts a call that the upstream makes on its own."""
+    node.add_member()
+
+    async def handle(address, request):
+        await anyio.sleep(5.0)
+        return result.Ok(node.report())
+
+    node.nodes.handler = handle
+    caller = _root(node)
+    node.start(caller)
+    await anyio.sleep(1.0)
+    assert node.apps.in_progress == 1
+    node.board.shutdown.phase = topics.Phase.REFUSING
+    late = await _root(node).run()
+    assert (late.outcome, late.reason) == (NOT_RUN.value, "leaving")
+    await anyio.sleep(10.0)
+    assert caller.status == 200
+    assert node.apps.in_progress == 0
+
+
+@inprocess.test
+async def test_child_is_served_during_a_planned_stop(node):
+    """A stop refuses the child calls of requests that it waits for."""
+    node.add_member("inventory")
+
+    async def handle(address, request):
+        return result.Ok(node.report())
+
+    node.nodes.handler = handle
+    node.board.shutdown.phase = topics.Phase.REFUSING
+    assert (await node.child(node.open_call()).run()).status == 200
