Check request heads once instead of at each header

Cause: the limits of heads cost about 15 us of CPU time for each request, since every header passed through two more Python calls.

Change: size and Host header are judged when the head is complete; what is not complete is bounded by the raw bytes received. Trailers go to a list that nobody reads.

--- a/medlardoor/node/protocol.py
+++ b/medlardoor/node/protocol.py
@@ -62,7 +62,7 @@
         self._limits: Limits = config.limits
         self._max_head_bytes = self._limits.settings.max_head_bytes
         self._in_head = True
-        self._head_bytes = 0
+        self._is_head_too_large = False
         # Bytes received since the last part of a body: heads that have not
         # ended, chunk extensions and trailers. One read may hold a head and
         # a part of its body, so this is judged after parsing.
@@ -111,7 +111,7 @@
             return
         except httptools.HttpParserError:
             status = BAD_REQUEST
-            if self._head_bytes > self._max_head_bytes:
+            if self._is_head_too_large:
                 status = HEAD_TOO_LARGE
             self._reject(status, "The request is not valid HTTP/1.1.")
             return
@@ -123,26 +123,15 @@
     def on_message_begin(self) -> None:
         """Starts a request head."""
         super().on_message_begin()
-        self._in_head = True
-        self._head_bytes = 0
         if self._head_started_at is None:
             self._head_started_at = self.loop.time()
 
-    def on_url(self, url: bytes) -> None:
-        """Takes a part of the target."""
-        self._count_head(len(url))
-        super().on_url(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Takes a header or a trailer."""
-        self._count_head(len(name) + len(value) + _HEADER_OVERHEAD_BYTES)
-        if self._in_head:
-            super().on_header(name, value)
-
     def on_headers_complete(self) -> None:
         """Starts the request."""
-        self._check_host()
+        self._check_head()
         super().on_headers_complete()
+        # The parser reports trailers as headers; the request is out already.
+        self.headers = []
         self._in_head = False
         self._head_started_at = None
         self._overhead_bytes = 0
@@ -195,25 +184,31 @@
         self._running = cycle
         super()._start_asgi_task(cycle, app)
 
-    def _check_host(self) -> None:
-        """Requires one Host header, as RFC 9112, section 3.2, does.
+    def _check_head(self) -> None:
+        """Requires a head of limited size with one Host header.
+
+        RFC 9112, section 3.2, asks for one. The client library refuses to
+        forward other requests, which would otherwise look like a failure of
+        the upstream.
 
-        The client library refuses to forward such a request, which would
-        otherwise look like a failure of the upstream.
+        Raises:
+            ValueError: The parser turns it into an `HttpParserError`.
         """
+        size = len(self.url)
+        hosts = 0
+        for name, value in self.headers:
+            size += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+            if name == b"host":
+                hosts += 1
+        if size > self._max_head_bytes:
+            self._is_head_too_large = True
+            raise ValueError("head too large")
         version = self.parser.get_http_version()
-        hosts = sum(name == b"host" for name, _ in self.headers)
         if version == "1.0" and not hosts:
             self.headers.append((b"host", b""))
         elif version not in _VERSIONS or hosts != 1:
             raise ValueError("no single host")
 
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self._max_head_bytes:
-            # The parser turns this into an HttpParserError.
-            raise ValueError("head too large")
-
     def _awaits_body(self) -> bool:
         """Whether the caller, and not this node, delays the body.
 
--- a/medlardoor/node/tests/test_bad_input.py
+++ b/medlardoor/node/tests/test_bad_input.py
@@ -152,7 +152,7 @@
         b"PUT /uploads HTTP/1.1\r\nHost: order\r\n"
         b"Transfer-Encoding: chunked\r\n\r\n"
     )
-    trailers = extra + b"A: b\r\n" * 20_000
+    trailers = extra + b"A: b\r\n" * 100_000
     answer = system_module.raw_exchange(
         system.ports["caller_port"], data + trailers
     )
--- a/medlardoor/node/tests/test_planned_stop.py
+++ b/medlardoor/node/tests/test_planned_stop.py
@@ -13,6 +13,7 @@
 # More than the prefix that a node reads before it dispatches a request.
 PART = b"x" * 100_000
 UPLOAD_PARTS = 6
+ORDERS = 5
 END_TIMEOUT_S = 10.0
 
 
@@ -62,6 +63,14 @@
     return json.loads(answer[2])
 
 
+def _all_arrived(system, orders):
+    """Whether all orders and the upload are in the node, some in its queue."""
+    ended = sum(order.done() for order in orders)
+    status = _status(system)
+    present = status["in_flight"] + status["queued"]
+    return status["queued"] > 0 and present + ended > ORDERS
+
+
 def _ended(process):
     return lambda: process.exit_status is not None
 
@@ -89,17 +98,18 @@
         idle = _open_idle(port)
         upload = _Upload(port)
         system_module.wait_for(lambda: _status(system)["in_flight"] > 0)
+        keys = [system.issue_key() for _ in range(ORDERS)]
         orders = [
             pool.submit(
                 system.request,
                 "POST",
                 "/orders",
                 b"{}",
-                {"Idempotency-Key": system.issue_key()},
+                {"Idempotency-Key": key},
             )
-            for _ in range(5)
+            for key in keys
         ]
-        system_module.wait_for(lambda: _status(system)["queued"] > 0)
+        system_module.wait_for(lambda: _all_arrived(system, orders))
         targets = {
             "node": [system.node],
             "upstream": [system.upstream],
