--- a/medlardoor/node/egress.py
+++ b/medlardoor/node/egress.py
@@ -9,6 +9,7 @@
 import result
 
 from medlardoor import errors, logs
+from medlardoor.blackboard import topics
 from medlardoor.node import (
     arrival,
     calls,
@@ -26,9 +27,14 @@
 
 _LOG = logbook.Logger("medlardoor.egress")
 
+RETRY_AFTER_MS = 1_000
+
 # Methods that are idempotent by RFC 9110, section 9.2.2.
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 
+# No new chain begins in these phases; a planned stop waits for the others.
+_STOPPED_PHASES = (topics.Phase.REFUSING, topics.Phase.FINISHED)
+
 # A directory read that takes longer than this leaves no time for the call.
 DISCOVERY_WAIT_S = 2.0
 
@@ -70,16 +76,12 @@
             return
         outgoing = prepared.ok()
         try:
-            ended = await self._run(outgoing)
+            ended = await self._run_as_child(outgoing)
         except exchange.CallerGone:
-            # The upstream gave up; the call may have been dispatched.
-            outgoing.parent.record_child(errors.Outcome.UNKNOWN)
             return
         if ended.is_ok():
-            outgoing.parent.record_child(errors.Outcome.ANSWERED)
             return
         refusal = ended.err()
-        outgoing.parent.record_child(refusal.outcome)
         call = outgoing.call
         logs.log_event(
             _LOG,
@@ -128,6 +130,8 @@
     ) -> result.Result[calls.ActiveCall, errors.Refusal]:
         """A call that the upstream makes on its own account."""
         board = self._node.board
+        if board.shutdown.phase in _STOPPED_PHASES:
+            return result.Err(_leaving())
         refusal = arrival.refusal_before_arrival(
             self._node.adoption, keyed=False
         )
@@ -177,6 +181,27 @@
                 return kind.idempotent
         return request.method in _IDEMPOTENT_METHODS
 
+    async def _run_as_child(self, outgoing: _Outgoing) -> Ended:
+        """Runs the call and notes its outcome at its parent.
+
+        Raises:
+            exchange.CallerGone: If the upstream closed the connection.
+            exchange.TruncatedAnswer: If a started answer ended early.
+        """
+        parent = outgoing.parent
+        # Without an answer the call may have been dispatched all the same.
+        outcome = errors.Outcome.UNKNOWN
+        parent.children += 1
+        try:
+            ended = await self._run(outgoing)
+            outcome = errors.Outcome.ANSWERED
+            if ended.is_err():
+                outcome = ended.err().outcome
+            return ended
+        finally:
+            parent.children -= 1
+            parent.record_child(outcome)
+
     async def _run(self, outgoing: _Outgoing) -> Ended:
         with anyio.CancelScope(deadline=outgoing.call.deadline):
             return await exchange.run_while_connected(
@@ -272,6 +297,15 @@
     )
 
 
+def _leaving() -> errors.Refusal:
+    return errors.Refusal(
+        errors.Outcome.NOT_RUN,
+        errors.Reason.LEAVING,
+        "This node is shutting down.",
+        RETRY_AFTER_MS,
+    )
+
+
 def _too_deep() -> errors.Refusal:
     return errors.Refusal(
         errors.Outcome.NOT_RUN,
--- a/medlardoor/node/executor.py
+++ b/medlardoor/node/executor.py
@@ -194,6 +194,8 @@
                     ended.ok(), errors.Outcome.ANSWERED
                 )
                 return result.Ok(None)
+            # No child call may start once the outcome is decided.
+            node.registry.close(work.active)
             refusal = await self._failed(work, ended.err())
             completion = admission_controller.Completion(
                 anyio.current_time() - started_at,
@@ -225,6 +227,10 @@
         failure: errors.Refusal | transport_module.TransportFailure,
     ) -> errors.Refusal:
         if isinstance(failure, errors.Refusal):
+            if work.active.may_have_children:
+                return dataclasses.replace(
+                    failure, outcome=errors.Outcome.UNKNOWN
+                )
             return failure
         # The probe decides whether this was a crash while all calls that were
         # in flight are still known to the quarantine controller.
@@ -249,6 +255,8 @@
         node = self._node
         call = work.active.call
         tried = {node.board.instance}
+        # An earlier attempt of unknown outcome makes the whole call unknown.
+        in_doubt = refusal.outcome is errors.Outcome.UNKNOWN
         for _ in range(MAX_HANDOVERS):
             if not self._may_hand_over(work, refusal, tried):
                 break
@@ -262,10 +270,14 @@
             if ended.is_ok() or work.reply.started:
                 return ended
             refusal = ended.err()
-            if refusal.outcome is errors.Outcome.NOT_RUN:
-                work.dispatched = False
-            elif not call.idempotent:
+            in_doubt |= refusal.outcome is errors.Outcome.UNKNOWN
+            work.dispatched = in_doubt
+            if in_doubt and not call.idempotent:
                 break
+        if in_doubt:
+            refusal = dataclasses.replace(
+                refusal, outcome=errors.Outcome.UNKNOWN
+            )
         if refusal.reason in _LOAD_REASONS:
             node.admission.report_handoff_failed(
                 call.rank, anyio.current_time()
