--- a/medlardoor/node/calls.py
+++ b/medlardoor/node/calls.py
@@ -23,6 +23,8 @@
         child_ran: Whether a child call was run or may have been run.
         path_level: Highest admission level that child calls met.
         children: Child calls in progress; their outcome is still open.
+        called_s: Time in which at least one child call was in progress.
+        called_since: Start of the current such time, in seconds.
     """
 
     call: context.CallContext
@@ -31,12 +33,28 @@
     child_ran: bool = False
     path_level: int = 0
     children: int = 0
+    called_s: float = 0.0
+    called_since: float = 0.0
 
     @property
     def may_have_children(self) -> bool:
         """Whether a child call was run, may have been run or may yet run."""
         return self.child_ran or self.children > 0
 
+    def begin_child(self, now: float) -> None:
+        """Notes that a child call is in progress from now on."""
+        if self.children == 0:
+            self.called_since = now
+        self.children += 1
+
+    def end_child(self, outcome: errors.Outcome, now: float) -> None:
+        """Notes the end and the outcome of a child call."""
+        self.children -= 1
+        if self.children == 0:
+            self.called_s += now - self.called_since
+        if outcome is not errors.Outcome.NOT_RUN:
+            self.child_ran = True
+
     def take_unspent(self) -> int:
         """Takes all retries that are left, so that none is spent later."""
         unspent = 0
@@ -44,11 +62,6 @@
             unspent += 1
         return unspent
 
-    def record_child(self, outcome: errors.Outcome) -> None:
-        """Notes the outcome of a child call."""
-        if outcome is not errors.Outcome.NOT_RUN:
-            self.child_ran = True
-
 
 class CallRegistry:
     """Table of the calls in flight on the local upstream."""
--- a/medlardoor/node/egress.py
+++ b/medlardoor/node/egress.py
@@ -191,7 +191,7 @@
         parent = outgoing.parent
         # Without an answer the call may have been dispatched all the same.
         outcome = errors.Outcome.UNKNOWN
-        parent.children += 1
+        parent.begin_child(anyio.current_time())
         try:
             ended = await self._run(outgoing)
             outcome = errors.Outcome.ANSWERED
@@ -199,13 +199,14 @@
                 outcome = ended.err().outcome
             return ended
         finally:
-            parent.children -= 1
-            parent.record_child(outcome)
+            parent.end_child(outcome, anyio.current_time())
 
     async def _run(self, outgoing: _Outgoing) -> Ended:
         with anyio.CancelScope(deadline=outgoing.call.deadline):
             return await exchange.run_while_connected(
-                outgoing.body, functools.partial(self._attempts, outgoing)
+                outgoing.body,
+                functools.partial(self._attempts, outgoing),
+                self._node.tasks,
             )
         if outgoing.reply.started:
             raise exchange.TruncatedAnswer("deadline")
--- a/medlardoor/node/exchange.py
+++ b/medlardoor/node/exchange.py
@@ -1,12 +1,12 @@
 """Requests and replies of the listeners, on top of ASGI."""
 
-import asyncio
 from collections import abc as collections_abc
 import dataclasses
 import types
 import typing
 
 import anyio
+import anyio.abc
 
 __all__ = [
     "CallerGone",
@@ -332,17 +332,19 @@
 async def run_while_connected(
     body: RequestBody,
     function: typing.Callable[[], typing.Coroutine[typing.Any, None, Value]],
+    tasks: anyio.abc.TaskGroup,
 ) -> Value:
     """Runs a function and cancels it when the caller closes its connection.
 
     The connection is watched from the first time that the function waits for
     something. A call that is refused at once never does, and the watching
-    task would be most of its cost. The task is one of asyncio, as is the
-    listener: a task group for each call took 0.1 ms.
+    task would be most of its cost.
 
     Args:
         body: Body of the request that the function serves.
         function: What to run.
+        tasks: Task group that runs the watcher; a task group of its own for
+            each call took 0.1 ms.
 
     Returns:
         What the function returned.
@@ -351,26 +353,25 @@
         CallerGone: If the caller closed the connection.
         TruncatedAnswer: If the function raised it.
     """
-    watchers: list[asyncio.Task] = []
+    watching = anyio.CancelScope()
     with anyio.CancelScope() as scope:
 
         def watch() -> None:
-            watching = _cancel_on_disconnect(body, scope)
-            watchers.append(asyncio.create_task(watching))
+            tasks.start_soon(_cancel_on_disconnect, body, scope, watching)
 
         try:
             return await _call_when_waiting(function(), watch)
         finally:
-            for watcher in watchers:
-                watcher.cancel()
+            watching.cancel()
     raise CallerGone
 
 
 async def _cancel_on_disconnect(
-    body: RequestBody, scope: anyio.CancelScope
+    body: RequestBody, scope: anyio.CancelScope, watching: anyio.CancelScope
 ) -> None:
-    await body.wait_disconnect()
-    scope.cancel()
+    with watching:
+        await body.wait_disconnect()
+        scope.cancel()
 
 
 @types.coroutine
--- a/medlardoor/node/executor.py
+++ b/medlardoor/node/executor.py
@@ -30,6 +30,11 @@
 )
 _LOAD_REASONS = frozenset({errors.Reason.OVERLOAD, errors.Reason.QUEUE_TIMEOUT})
 
+# The upstream did not take the request, which is a sign of its load.
+_SHED_REASONS = frozenset(
+    {errors.Reason.UPSTREAM_SHED, errors.Reason.UPSTREAM_UNAVAILABLE}
+)
+
 Ended = result.Result[None, errors.Refusal]
 
 
@@ -165,11 +170,7 @@
             return None
         path_level = self._node.paths.level_for(call.kind, anyio.current_time())
         if call.level < path_level:
-            return _not_run(
-                errors.Reason.OVERLOAD,
-                "A service on the path of this kind is overloaded.",
-                self._retry_after_ms(),
-            )
+            return self._node.admission.refusal(call)
         return None
 
     async def _enter_and_dispatch(self, work: Work) -> Ended:
@@ -191,7 +192,9 @@
             )
             if ended.is_ok():
                 completion = admission_controller.Completion(
-                    ended.ok(), errors.Outcome.ANSWERED
+                    ended.ok(),
+                    errors.Outcome.ANSWERED,
+                    called_s=work.active.called_s,
                 )
                 return result.Ok(None)
             # No child call may start once the outcome is decided.
@@ -200,7 +203,8 @@
             completion = admission_controller.Completion(
                 anyio.current_time() - started_at,
                 refusal.outcome,
-                refusal.reason is errors.Reason.UPSTREAM_SHED,
+                refusal.reason in _SHED_REASONS,
+                work.active.called_s,
             )
             return result.Err(refusal)
         finally:
--- a/medlardoor/node/ingress.py
+++ b/medlardoor/node/ingress.py
@@ -66,7 +66,7 @@
         """
         run = self._keyed.run if by_owner else self._runner.run
         return await exchange.run_while_connected(
-            work.body, functools.partial(run, work)
+            work.body, functools.partial(run, work), self._node.tasks
         )
 
     def _log_refusal(
@@ -344,7 +344,10 @@
             unspent_budget=active.take_unspent(),
             # Only levels met by this very call are passed on; remembered ones
             # would circulate among services that call each other.
-            path_level=max(board.limits.effective_level, active.path_level),
+            path_level=max(
+                self._node.admission.path_level(anyio.current_time()),
+                active.path_level,
+            ),
             document_version=board.policy.version,
         )
         if refusal is not None:
