--- a/medlardoor/scenarios/evidence.py
+++ b/medlardoor/scenarios/evidence.py
@@ -107,6 +107,7 @@
 
     Attributes:
         runs: Runs on all upstreams.
+        sheds: Requests that upstreams refused, as runs without an end.
         attempts: Attempts of all load clients.
         requests: Requests of all load clients.
         versions: Versions polled by the runner.
@@ -115,6 +116,7 @@
     """
 
     runs: list[Run] = dataclasses.field(default_factory=list)
+    sheds: list[Run] = dataclasses.field(default_factory=list)
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     requests: list[Request] = dataclasses.field(default_factory=list)
     versions: list[VersionSample] = dataclasses.field(default_factory=list)
@@ -136,23 +138,27 @@
         yield started_at + row["t_ms"] / 1_000, row
 
 
-def read_runs(path: pathlib.Path) -> list[Run]:
-    """Reads the record of one upstream."""
+def read_runs(path: pathlib.Path) -> tuple[list[Run], list[Run]]:
+    """Reads the runs and the refusals in the record of one upstream."""
     runs: list[Run] = []
+    sheds: list[Run] = []
     running: dict[str, list[Run]] = {}
     start: Row = {}
     for at, row in _rows(path):
         if row["event"] == "process_start":
             start = row
             running = {}
-        elif row["event"] == "start":
+        elif row["event"] in ("start", "shed"):
             service, instance = start["service"], start["instance"]
             run = Run(service, instance, row["id"], row["key"], at)
+            if row["event"] == "shed":
+                sheds.append(run)
+                continue
             runs.append(run)
             running.setdefault(row["id"], []).append(run)
         elif row["event"] == "end" and running.get(row["id"]):
             running[row["id"]].pop(0).end = row["end"]
-    return runs
+    return runs, sheds
 
 
 def read_load(path: pathlib.Path) -> tuple[list[Attempt], list[Request]]:
@@ -175,7 +181,9 @@
     """Reads the records of all upstreams and load clients of a scenario."""
     evidence = Evidence()
     for path in sorted(directory.glob("upstream-*.jsonl")):
-        evidence.runs += read_runs(path)
+        runs, sheds = read_runs(path)
+        evidence.runs += runs
+        evidence.sheds += sheds
     for path in sorted(directory.glob("load-*.jsonl")):
         attempts, requests = read_load(path)
         evidence.attempts += attempts
--- a/medlardoor/scenarios/steps.py
+++ b/medlardoor/scenarios/steps.py
@@ -10,6 +10,7 @@
 import time
 import typing
 
+import anyio
 import pydantic
 import result
 
@@ -65,7 +66,7 @@
 
 
 class LoadOptions(settings_module.Settings):
-    """Options of ``load``: one kind at one rate."""
+    """Options of ``load``: one kind at one rate, to all nodes or to one."""
 
     name: str
     kind: str
@@ -78,6 +79,10 @@
     resends: int = 0
     honour_retry_after: bool = False
     resend_unknown: bool = True
+    twice: bool = False
+    alter_copy: bool = False
+    upload_s: float = 0.0
+    node: int = 0
     rate: float
     duration_s: float
 
@@ -163,7 +168,10 @@
 async def start_load(world: world_module.World, options: LoadOptions) -> Done:
     """Starts a load client that sends requests of one kind."""
     name = f"load-{options.name}"
-    kind = options.model_dump(exclude={"kind", "rate", "duration_s"})
+    kind = options.model_dump(exclude={"kind", "rate", "duration_s", "node"})
+    targets = world.callers[options.service]
+    if options.node:
+        targets = [targets[options.node - 1]]
     phase = {
         "name": options.name,
         "duration_s": options.duration_s,
@@ -171,7 +179,7 @@
     }
     settings = {
         "seed": world.seed,
-        "targets": {options.service: world.callers[options.service]},
+        "targets": {options.service: targets},
         "kinds": [{**kind, "name": options.kind}],
         "phases": [phase],
         "record": str(world.directory / f"{name}.jsonl"),
@@ -221,6 +229,7 @@
 ) -> Done:
     """Sets the fault of the platform."""
     faults = {"mode": mode, "delay_ms": delay_ms}
+    world.marks["platform"] = time.monotonic()
     return await _set_faults(world, "platform", faults)
 
 
@@ -246,12 +255,18 @@
 
 
 async def promote(
-    world: world_module.World, document: str, old: str = "", new: str = ""
+    world: world_module.World,
+    document: str,
+    old: str = "",
+    new: str = "",
+    rivals: int = 0,
 ) -> Done:
     """Promotes an example document with the text `old` replaced by `new`.
 
     The first document is written to the platform before any node runs; later
-    ones are promoted through the first node that accepts them.
+    ones are promoted through the first node that accepts them. With `rivals`
+    as many operators promote a text each at the same moment, of which exactly
+    one must be accepted.
     """
     text = (EXAMPLES / document / "document.jsonc").read_text()
     if old not in text:
@@ -260,6 +275,8 @@
     nodes = world.live_nodes()
     if not nodes:
         return await _write_first(world, text)
+    if rivals:
+        return await _promote_at_once(world, nodes[:rivals], text)
     for name in nodes:
         done = await _promote_at(world, name, text)
         if done.is_ok():
@@ -267,6 +284,21 @@
     return done
 
 
+async def _promote_at_once(world, nodes, text) -> Done:
+    accepted = []
+
+    async def promote_at(name):
+        done = await _promote_at(world, name, f"{text}\n// {name}\n")
+        accepted.extend([name] if done.is_ok() else [])
+
+    async with anyio.create_task_group() as group:
+        for name in nodes:
+            group.start_soon(promote_at, name)
+    if len(accepted) != 1:
+        return world_module.missing(f"single winner, accepted: {accepted}")
+    return result.Ok("")
+
+
 async def _write_first(world, text) -> Done:
     answer = await world.send(
         world.events["platform"]["port"],
--- a/medlardoor/standins/tests/test_load.py
+++ b/medlardoor/standins/tests/test_load.py
@@ -3,6 +3,7 @@
 import json
 
 import anyio
+import anyio.abc
 import result
 
 from medlardoor.standins import connections, load, load_request, processes
@@ -19,9 +20,11 @@
         super().__init__()
         self._exchanges = list(exchanges)
         self.messages = []
+        self.addresses = []
 
     async def exchange(self, address, message, timeout_s):
         self.messages.append(message)
+        self.addresses.append(address)
         return self._exchanges.pop(0)
 
     @property
@@ -89,6 +92,57 @@
     assert _send(settings, refused, refused)[0].outcome == "refused_not_run"
 
 
+def test_copies_go_to_two_addresses_with_one_key():
+    """Copies that are sent one after the other, or to one node, test less."""
+    settings = _settings(
+        kind={"twice": True, "alter_copy": True, "body_bytes": 9},
+        targets={"s": ["127.0.0.1:1", "127.0.0.1:2"]},
+    )
+    keys = _answer(200, b'{"keys": ["k1"]}')
+    lost = _answer(409, medlardoor_outcome="unknown")
+    refused = _answer(503, medlardoor_outcome="not-run")
+    request, pool = _send(settings, keys, *[refused, lost] * 4)
+    assert pool.keys[1:] == ["k1"] * 8
+    assert len({message.body for message in pool.messages[1:3]}) == 2
+    assert len(set(pool.addresses[1:3])) == 2
+    assert (request.outcome, request.attempts) == ("unknown", 4)
+
+
+def test_slow_upload_arrives_whole_and_takes_its_time():
+    """An upload that is sent at once is never in progress at a stop."""
+
+    async def run():
+        received = bytearray()
+
+        async def serve(stream):
+            async with stream:
+                while not received.endswith(b"end"):
+                    received.extend(await stream.receive())
+                await stream.send(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                )
+
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        pool = connections.ConnectionPool()
+        message = connections.Message(
+            "PUT", "/", {}, b"." * 97 + b"end", upload_s=0.2
+        )
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            began_at = anyio.current_time()
+            answer = await pool.exchange(f"127.0.0.1:{port}", message, 5)
+            took_s = anyio.current_time() - began_at
+            group.cancel_scope.cancel()
+        await pool.aclose()
+        return answer, took_s, bytes(received)
+
+    answer, took_s, received = anyio.run(run)
+    assert answer.unwrap().status == 200
+    assert took_s >= 0.15
+    assert received.endswith(b"." * 97 + b"end")
+
+
 def test_answer_to_another_request_is_not_whole():
     """A mixed-up answer is counted as goodput."""
     settings = _settings(kind={"keyed": False})
--- a/medlardoor/standins/upstream.py
+++ b/medlardoor/standins/upstream.py
@@ -140,6 +140,7 @@
         self._present += 1
         try:
             if self._must_shed():
+                self._write_bare("shed", target, headers)
                 await answers.send_shed(send)
                 return
             body_sha256 = await self._read(target, headers, receive)
@@ -187,13 +188,16 @@
         return hasher.hexdigest()
 
     def _crash(self, target, headers):
+        self._write_bare("start", target, headers)
+        os._exit(CRASH_STATUS)
+
+    def _write_bare(self, event, target, headers):
         self._record.write(
-            "start",
+            event,
             id=headers.get("x-request-id", ""),
             key=headers.get("idempotency-key", ""),
             target=target,
         )
-        os._exit(CRASH_STATUS)
 
     async def _run_until_disconnect(self, run, receive, send):
         try:
