--- a/medlardoor/standins/children.py
+++ b/medlardoor/standins/children.py
@@ -90,10 +90,10 @@
         """
         done = 0
         run = f"{self._prefix}{next(self._runs)}"
-        for child in self._settings.children:
+        for number, child in enumerate(self._settings.children):
             if not parent.target.startswith(child.on_path):
                 continue
-            outcome = await self._run_group(child, parent, run)
+            outcome = await self._run_group(child, parent, f"{run}.{number}")
             if outcome.is_err():
                 return outcome
             done += child.count
--- a/medlardoor/standins/tests/test_upstream.py
+++ b/medlardoor/standins/tests/test_upstream.py
@@ -97,6 +97,18 @@
     assert "No time left" in json.loads(late.body)["detail"]
 
 
+def test_calls_of_one_run_have_different_ids(group):
+    """Two calls to one service are counted as a call and its retry."""
+    children = [{"service": "stock", "path": path} for path in ("/c", "/d")]
+    _, below = _start(group, "stock", mean_ms=1)
+    _, above = _start(
+        group, "order", mean_ms=1, egress=below, children=children
+    )
+    assert _call(above, headers={"X-Request-ID": "r"}).ok_value.status == 200
+    rows = list(records.read_records(group.directory / "stock.jsonl"))
+    assert len({r["id"] for r in rows if r["event"] == "start"}) == 2
+
+
 def test_direct_children_are_retried_naively(group):
     """The uncontrolled baseline retries less often than it is said to."""
     child = {"service": "stock", "path": "/c"}
