--- a/medlardoor/scenarios/steps.py
+++ b/medlardoor/scenarios/steps.py
@@ -79,6 +79,7 @@
     resends: int = 0
     honour_retry_after: bool = False
     resend_unknown: bool = True
+    resend_delay_s: float = 0.0
     twice: bool = False
     alter_copy: bool = False
     upload_s: float = 0.0
--- a/medlardoor/standins/load_request.py
+++ b/medlardoor/standins/load_request.py
@@ -110,6 +110,8 @@
             doubtful = doubtful or attempt.outcome in ("unknown", "failed")
             if request.kind.honour_retry_after:
                 await anyio.sleep(attempt.retry_after_s)
+            if request.kind.resend_delay_s:
+                await anyio.sleep(request.kind.resend_delay_s)
         request.outcome = attempt.outcome
         request.status = attempt.status
         request.reason = attempt.reason
