Use one retry budget and one difference type

Cause: the ledger had a budget of its own that repeated the retry budget, and the administration API repeated the data classes of the promotion logic.

Change: records of keys hold a RetryBudget, which can refund an attempt that was never dispatched; the API uses the classes of config.diff and promotion.

--- a/medlardoor/admin/api.py
+++ b/medlardoor/admin/api.py
@@ -16,13 +16,13 @@
 from medlardoor import errors
 from medlardoor.admin import messages, page, tokens, views
 from medlardoor.blackboard import board as board_module
+from medlardoor.config import diff
 from medlardoor.config import settings as settings_module
+from medlardoor.promotion import promoter
 
 __all__ = [
     "AdminApp",
     "ConflictingPromotion",
-    "DocumentComparison",
-    "DocumentDifference",
     "HistoryRecord",
     "PromotionRequest",
     "PromotionService",
@@ -34,34 +34,6 @@
 MAX_PROMOTION_BYTES = 6 * MAX_DOCUMENT_BYTES + 8_192
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DocumentDifference:
-    """One difference between two documents.
-
-    Attributes:
-        path: What differs, such as ``kinds.stock_check.retry_budget``.
-        old: Old value as text; None if it is new.
-        new: New value as text; None if it is removed.
-    """
-
-    path: str
-    old: str | None
-    new: str | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DocumentComparison:
-    """What a document would change.
-
-    Attributes:
-        version: Version in force that it was compared with.
-        differences: Changes that its promotion would make.
-    """
-
-    version: int
-    differences: tuple[DocumentDifference, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromotionRequest:
     """A document to promote.
@@ -110,7 +82,7 @@
 
     version: int
     author: str
-    differences: tuple[DocumentDifference, ...]
+    differences: tuple[diff.Difference, ...]
 
     @property
     def message(self) -> str:
@@ -128,7 +100,7 @@
     @abc.abstractmethod
     async def compare(
         self, text: str
-    ) -> result.Result[DocumentComparison, errors.Failure]:
+    ) -> result.Result[promoter.Comparison, errors.Failure]:
         """Lists what a document would change.
 
         Returns:
@@ -139,7 +111,7 @@
     @abc.abstractmethod
     async def compare_version(
         self, version: int
-    ) -> result.Result[DocumentComparison, errors.Failure]:
+    ) -> result.Result[promoter.Comparison, errors.Failure]:
         """Lists what a return to an earlier version would change."""
 
     @abc.abstractmethod
@@ -308,7 +280,7 @@
 
 
 def _comparison_reply(
-    compared: result.Result[DocumentComparison, errors.Failure],
+    compared: result.Result[promoter.Comparison, errors.Failure],
 ) -> messages.Reply:
     if compared.is_err():
         return _failure_reply(compared.err_value)
--- a/medlardoor/admin/tests/test_admin.py
+++ b/medlardoor/admin/tests/test_admin.py
@@ -10,14 +10,15 @@
 from medlardoor.admin import api, page, tokens
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
-from medlardoor.config import policy
+from medlardoor.config import diff, policy
 from medlardoor.config import settings as settings_module
 from medlardoor.node import context
+from medlardoor.promotion import promoter
 from medlardoor.report import recorder
 
 FAULT = errors.Fault("$.teams", 3, "an object")
 INVALID = result.Err(errors.InvalidInput("document", (FAULT,)))
-DIFFERENCE = api.DocumentDifference("kinds.check.weight", "1", "2")
+DIFFERENCE = diff.Difference("kinds.check.weight", "1", "2")
 
 
 class ScriptedPromotion(api.PromotionService):
@@ -202,7 +203,7 @@
         "POST", "/v1/check", b"d", ScriptedPromotion(INVALID)
     )
     assert (status, found["faults"][0]["line"]) == (422, 3)
-    compared = result.Ok(api.DocumentComparison(7, (DIFFERENCE,)))
+    compared = result.Ok(promoter.Comparison(7, (DIFFERENCE,)))
     promotion = ScriptedPromotion(compared)
     found = _ask_json("POST", "/v1/diff", b"d", promotion)[1]
     assert (found["version"], found["differences"][0]["new"]) == (7, "2")
--- a/medlardoor/ledger/records.py
+++ b/medlardoor/ledger/records.py
@@ -14,6 +14,7 @@
 from medlardoor import errors
 from medlardoor.config import settings as settings_module
 from medlardoor.ledger import keys, refusals, state, succession, usage
+from medlardoor.retries import budget as budget_module
 
 __all__ = [
     "Denied",
@@ -34,7 +35,7 @@
         budget: Retries left to the key; this run has been paid for.
     """
 
-    budget: state.KeyBudget
+    budget: budget_module.RetryBudget
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,7 +140,7 @@
         if not self._make_room(state.RECORD_BYTES, 1):
             return Denied(refusals.full(self._replace_unused(sequence, now)))
         record = state.Record(
-            request_digest, state.KeyBudget(retry_budget), idempotent
+            request_digest, budget_module.RetryBudget(retry_budget), idempotent
         )
         inherited = self._successors.find(sequence)
         if inherited is not None:
@@ -233,7 +234,7 @@
                 break
             self._drop(sequence)
 
-    def budget_of(self, key: str) -> state.KeyBudget | None:
+    def budget_of(self, key: str) -> budget_module.RetryBudget | None:
         """Retry budget of a key; None without a record."""
         record = self._records.get(self._own_sequence(key).unwrap_or(0))
         return record.budget if record else None
--- a/medlardoor/ledger/state.py
+++ b/medlardoor/ledger/state.py
@@ -4,8 +4,9 @@
 import enum
 
 from medlardoor import errors
+from medlardoor.retries import budget as budget_module
 
-__all__ = ["RECORD_BYTES", "Answer", "KeyBudget", "Record", "State"]
+__all__ = ["RECORD_BYTES", "Answer", "Record", "State"]
 
 # Memory of one record without its answer, with its entries in the tables;
 # measured by `bench/ledger_slopes.py`.
@@ -33,45 +34,6 @@
         return fields + len(self.body)
 
 
-class KeyBudget:
-    """Retries left to all runs of one key.
-
-    The record of the key and the run in progress share one object.
-
-    Args:
-        total: Retries for the whole chain and all resends together.
-    """
-
-    __slots__ = ("_remaining", "_total")
-
-    def __init__(self, total: int):
-        self._total = total
-        self._remaining = total
-
-    @property
-    def remaining(self) -> int:
-        """Retries that are neither spent nor reserved."""
-        return self._remaining
-
-    def spend(self) -> bool:
-        """Spends one retry if there is one."""
-        if self._remaining <= 0:
-            return False
-        self._remaining -= 1
-        return True
-
-    def reserve(self) -> int:
-        """Takes the share of one outgoing call, half rounded up."""
-        share = (self._remaining + 1) // 2
-        self._remaining -= share
-        return share
-
-    def give_back(self, unspent: int) -> None:
-        """Returns the unspent part of a share."""
-        restored = self._remaining + max(unspent, 0)
-        self._remaining = min(restored, self._total)
-
-
 class State(enum.Enum):
     """State of a record."""
 
@@ -109,7 +71,7 @@
     """
 
     digest: bytes
-    budget: KeyBudget
+    budget: budget_module.RetryBudget
     idempotent: bool
     state: State = State.RUNNING
     in_doubt: bool = False
@@ -142,7 +104,7 @@
     def refund(self) -> None:
         """Returns the retry that a run cost which was not dispatched."""
         if self.paid:
-            self.budget.give_back(1)
+            self.budget.refund()
         self.paid = False
 
     def settle(self, outcome: errors.Outcome) -> None:
--- a/medlardoor/ledger/succession.py
+++ b/medlardoor/ledger/succession.py
@@ -10,6 +10,7 @@
 
 from medlardoor import errors
 from medlardoor.ledger import state
+from medlardoor.retries import budget as budget_module
 
 __all__ = ["INHERITANCE_BYTES", "Inheritance", "Successors", "inherit"]
 
@@ -29,7 +30,7 @@
     """
 
     digest: bytes
-    budget: state.KeyBudget
+    budget: budget_module.RetryBudget
     dispatched: bool
 
 
--- a/medlardoor/node/promoting.py
+++ b/medlardoor/node/promoting.py
@@ -4,7 +4,6 @@
 
 from medlardoor import errors
 from medlardoor.admin import api
-from medlardoor.config import diff
 from medlardoor.promotion import failures, promoter
 
 __all__ = ["NodePromotionService"]
@@ -26,15 +25,15 @@
 
     async def compare(
         self, text: str
-    ) -> result.Result[api.DocumentComparison, errors.Failure]:
+    ) -> result.Result[promoter.Comparison, errors.Failure]:
         """Lists what a document would change."""
-        return (await self._logic.compare(text)).map(_comparison)
+        return await self._logic.compare(text)
 
     async def compare_version(
         self, version: int
-    ) -> result.Result[api.DocumentComparison, errors.Failure]:
+    ) -> result.Result[promoter.Comparison, errors.Failure]:
         """Lists what a return to an earlier version would change."""
-        return (await self._logic.compare_version(version)).map(_comparison)
+        return await self._logic.compare_version(version)
 
     async def promote(
         self, request: api.PromotionRequest
@@ -66,23 +65,9 @@
         )
 
 
-def _comparison(found: promoter.Comparison) -> api.DocumentComparison:
-    return api.DocumentComparison(
-        found.version, _differences(found.differences)
-    )
-
-
-def _differences(
-    found: tuple[diff.Difference, ...],
-) -> tuple[api.DocumentDifference, ...]:
-    return tuple(
-        api.DocumentDifference(each.path, each.old, each.new) for each in found
-    )
-
-
 def _conflict(failure: errors.Failure) -> errors.Failure:
     if not isinstance(failure, failures.PromotionConflict):
         return failure
     return api.ConflictingPromotion(
-        failure.version, failure.author, _differences(failure.differences)
+        failure.version, failure.author, failure.differences
     )
--- a/medlardoor/retries/budget.py
+++ b/medlardoor/retries/budget.py
@@ -15,9 +15,12 @@
         remaining: Retries that may be spent; negative values count as 0.
     """
 
+    __slots__ = ("_outstanding", "_remaining", "_spent")
+
     def __init__(self, remaining: int):
         self._remaining = max(0, remaining)
         self._outstanding = 0
+        self._spent = 0
 
     @property
     def remaining(self) -> int:
@@ -33,8 +36,15 @@
         if self._remaining == 0:
             return False
         self._remaining -= 1
+        self._spent += 1
         return True
 
+    def refund(self) -> None:
+        """Returns one spent retry whose attempt was never dispatched."""
+        if self._spent > 0:
+            self._spent -= 1
+            self._remaining += 1
+
     def reserve(self) -> int:
         """Takes the share of one outgoing call: half, rounded up.
 
