Check the settings of all programs alike and log request ids

Change: one command base loads settings for all programs. Refusals carry the request id. The test compares both ends of a connection.

--- a/medlardoor/cli/standins.py
+++ b/medlardoor/cli/standins.py
@@ -6,6 +6,7 @@
 from cleo.commands import command
 from cleo.io.inputs import argv_input
 
+from medlardoor.cli import settings_option
 from medlardoor.standins import load, platform, server
 from medlardoor.standins import settings as settings_module
 
@@ -20,10 +21,6 @@
 ]
 
 
-def _settings_option():
-    return helpers.option("settings", None, "Settings file, JSON", flag=False)
-
-
 class PlatformCommand(command.Command):
     """Runs the stand-in of the platform."""
 
@@ -44,39 +41,30 @@
         return 0
 
 
-class UpstreamCommand(command.Command):
+class UpstreamCommand(settings_option.SettingsCommand):
     """Runs an upstream stand-in."""
 
     name = "upstream"
     description = "Run an upstream stand-in."
-    options = [_settings_option()]
 
     def handle(self) -> int:
         """Runs until SIGTERM or SIGINT."""
-        server.run_upstream(
-            settings_module.read_settings(
-                self.option("settings"),
-                settings_module.UpstreamStandinSettings,
-            )
+        return self.run_with_settings(
+            settings_module.UpstreamStandinSettings, server.run_upstream
         )
-        return 0
 
 
-class LoadCommand(command.Command):
+class LoadCommand(settings_option.SettingsCommand):
     """Runs the load client."""
 
     name = "load"
     description = "Send load and verify each answer."
-    options = [_settings_option()]
 
     def handle(self) -> int:
         """Runs all phases and prints a summary."""
-        load.run_load(
-            settings_module.read_settings(
-                self.option("settings"), settings_module.LoadSettings
-            )
+        return self.run_with_settings(
+            settings_module.LoadSettings, load.run_load
         )
-        return 0
 
 
 def _run(command_line: list[str]) -> int:
@@ -88,17 +76,20 @@
 
 def run_platform() -> int:
     """Runs the platform stand-in with the options of the command line."""
-    return _run([sys.argv[0], "platform", *sys.argv[1:]])
+    program = "medlardoor-standin-platform"
+    return settings_option.run_single(program, PlatformCommand())
 
 
 def run_upstream() -> int:
     """Runs the upstream stand-in with the options of the command line."""
-    return _run([sys.argv[0], "upstream", *sys.argv[1:]])
+    program = "medlardoor-standin-upstream"
+    return settings_option.run_single(program, UpstreamCommand())
 
 
 def run_load() -> int:
     """Runs the load client with the options of the command line."""
-    return _run([sys.argv[0], "load", *sys.argv[1:]])
+    program = "medlardoor-standin-load"
+    return settings_option.run_single(program, LoadCommand())
 
 
 def main() -> int:
--- a/medlardoor/node/ingress.py
+++ b/medlardoor/node/ingress.py
@@ -32,6 +32,7 @@
 MAX_KEYS_BODY_BYTES = 256
 KEYS_BODY_TIMEOUT_S = 5.0
 SERVER_ERROR_STATUS = 500
+MAX_LOGGED_ID = 128
 
 _LOG = logbook.Logger("medlardoor.ingress")
 
@@ -70,13 +71,18 @@
         )
 
     def _log_refusal(
-        self, call: context.CallContext, refusal: errors.Refusal
+        self,
+        call: context.CallContext,
+        request: exchange.Request,
+        refusal: errors.Refusal,
     ) -> None:
+        request_id = request.header(b"x-request-id") or b""
         logs.log_event(
             _LOG,
             logbook.INFO,
             "call_refused",
             chain_id=call.chain_id.hex(),
+            request_id=request_id[:MAX_LOGGED_ID].decode("latin-1"),
             kind=call.kind,
             outcome=refusal.outcome.value,
             reason=refusal.reason.value,
@@ -132,6 +138,7 @@
         ended = await self._run_call(call, request, body, reply)
         self._record(call, ended, reply, started_at)
         if ended.is_err():
+            self._log_refusal(call, request, ended.err())
             await self._refuse(reply, ended.err(), call)
 
     def _record(
@@ -147,7 +154,6 @@
         if ended.is_err():
             outcome = ended.err().outcome
             reason = ended.err().reason
-            self._log_refusal(call, ended.err())
         elif reply.status >= SERVER_ERROR_STATUS:
             reason = errors.Reason.UPSTREAM_FAILED
         now = anyio.current_time()
@@ -327,7 +333,7 @@
             if ended.is_ok():
                 return
             refusal = ended.err()
-        self._log_refusal(call, refusal)
+        self._log_refusal(call, request, refusal)
         headers = self._result_headers(active, refusal)
         await problems.send_problem(
             reply, refusal, call.chain_id, call.kind, headers
--- a/medlardoor/node/tests/test_bad_input.py
+++ b/medlardoor/node/tests/test_bad_input.py
@@ -230,9 +230,15 @@
         sock.sendall(b"GET /stock?size=20000000 HTTP/1.1\r\nHost: a\r\n\r\n")
 
         def is_dropped():
+            # Connections of other tests may use the same port number towards
+            # another listener, so both ends are compared.
+            node, own = f":{address[1]:04X}", f":{sock.getsockname()[1]:04X}"
             rows = pathlib.Path("/proc/net/tcp").read_text().splitlines()
-            own = f":{sock.getsockname()[1]:04X}"
-            return not any(own in row.split()[2] for row in rows[1:])
+            ends = [row.split()[1:3] for row in rows[1:]]
+            return not any(
+                local.endswith(node) and remote.endswith(own)
+                for local, remote in ends
+            )
 
         system_module.wait_for(is_dropped)
 
--- a/medlardoor/standins/settings.py
+++ b/medlardoor/standins/settings.py
@@ -1,8 +1,5 @@
 """Settings of the stand-ins; nothing here is part of the system."""
 
-import pathlib
-import typing
-
 import pydantic
 
 from medlardoor.config import settings as settings_module
@@ -13,11 +10,8 @@
     "LoadSettings",
     "PhaseSettings",
     "UpstreamStandinSettings",
-    "read_settings",
 ]
 
-Model = typing.TypeVar("Model", bound=settings_module.Settings)
-
 
 class ChildCallSettings(settings_module.Settings):
     """Calls that an upstream stand-in makes while it runs a request.
@@ -113,16 +107,3 @@
     record: str = ""
     key_batch: int = pydantic.Field(default=64, ge=1, le=1_000)
     max_outstanding: int = pydantic.Field(default=5_000, ge=1)
-
-
-def read_settings(path: str, model: type[Model]) -> Model:
-    """Reads a settings file of a stand-in.
-
-    Args:
-        path: File with JSON.
-        model: Model that the file must pass.
-
-    Raises:
-        pydantic.ValidationError: The file does not pass the model.
-    """
-    return model.model_validate_json(pathlib.Path(path).read_bytes())
