Do not send a streamed body to a second peer

Cause: whether a body can be sent again was checked before the first handover only, so a second peer would have received the rest of a long body. Calls of an upstream to its own service found no alternatives for a retry.

Change: the check is repeated before each handover; alternatives of the own service are its peers; the share of a call is settled when its answer is in.

--- a/medlardoor/node/egress.py
+++ b/medlardoor/node/egress.py
@@ -261,7 +261,11 @@
         """Time to wait before the next attempt, or None to give up."""
         if not outgoing.body.replayable:
             return None
-        members = self._node.board.membership.services.get(outgoing.service, {})
+        membership = self._node.board.membership
+        if outgoing.service == self._node.board.service:
+            members = membership.members
+        else:
+            members = membership.services.get(outgoing.service, {})
         decision = self._node.retries.decide(
             outgoing.call,
             refusal,
--- a/medlardoor/node/executor.py
+++ b/medlardoor/node/executor.py
@@ -104,10 +104,7 @@
         call = work.active.call
         if ended.is_ok() or call.handed_over or work.reply.started:
             return ended
-        refusal = ended.err()
-        if not work.body.replayable:
-            return ended
-        return await self._hand_over(work, refusal)
+        return await self._hand_over(work, ended.err())
 
     async def _run_local(self, work: Work) -> Ended:
         refusal = self._refusal_before_queue(work.active.call)
@@ -262,6 +259,9 @@
         # An earlier attempt of unknown outcome makes the whole call unknown.
         in_doubt = refusal.outcome is errors.Outcome.UNKNOWN
         for _ in range(MAX_HANDOVERS):
+            # What was streamed to the upstream or a peer cannot be sent again.
+            if not work.body.replayable:
+                break
             if not self._may_hand_over(work, refusal, tried):
                 break
             now = anyio.current_time()
--- a/medlardoor/node/sending.py
+++ b/medlardoor/node/sending.py
@@ -59,7 +59,7 @@
     finally:
         node.nodes.finished(attempt.member, healthy, anyio.current_time())
     if report is not None:
-        active.budget.give_back(min(share, report.unspent_budget))
+        active.budget.give_back(report.unspent_budget, share)
         _note_path_level(node, active, attempt, report.path_level)
     return sent
 
--- a/medlardoor/node/tests/inprocess.py
+++ b/medlardoor/node/tests/inprocess.py
@@ -157,6 +157,10 @@
     )
 
 
+# The listener hands long bodies to the application in parts of this size.
+BODY_PART_BYTES = 65_536
+
+
 class Caller:
     """ASGI side of one request."""
 
@@ -177,7 +181,14 @@
             ],
             "client": ("127.0.0.1", 5),
         }
-        self._messages = [{"type": "http.request", "body": body}]
+        self._messages = [
+            {
+                "type": "http.request",
+                "body": body[start : start + BODY_PART_BYTES],
+                "more_body": start + BODY_PART_BYTES < len(body),
+            }
+            for start in range(0, max(1, len(body)), BODY_PART_BYTES)
+        ]
         self._left = anyio.Event()
         self.status = 0
         self.headers: dict[str, str] = {}
--- a/medlardoor/node/tests/test_executor.py
+++ b/medlardoor/node/tests/test_executor.py
@@ -5,6 +5,7 @@
 import result
 
 from medlardoor import errors
+from medlardoor.blackboard import topics
 from medlardoor.node import forwarding
 from medlardoor.node.tests import inprocess
 from medlardoor.quarantine import fingerprints
@@ -44,6 +45,18 @@
     assert len(node.nodes.sent) == 1
 
 
+@inprocess.test
+async def test_streamed_body_is_not_sent_to_a_second_peer(node):
+    """The rest of a long body goes to a second peer as if it were whole."""
+    node.add_member()
+    node.add_member()
+    node.board.load.upstream_state = topics.UpstreamState.DOWN
+    node.nodes.handler = node.refuse(NOT_RUN)
+    caller = await node.order(body=b"x" * 300_000).run()
+    assert caller.outcome == NOT_RUN.value
+    assert len(node.nodes.sent) == 1
+
+
 @inprocess.test
 async def test_unreachable_upstream_goes_to_a_peer(node):
     """A refused connection of the upstream counts as a run."""
