--- a/medlardoor/cli/operator.py
+++ b/medlardoor/cli/operator.py
@@ -54,3 +54,7 @@
 def main():
     """Entry point of the console script."""
     sys.exit(run(create_application()))
+
+
+if __name__ == "__main__":
+    main()
--- a/medlardoor/config/validation.py
+++ b/medlardoor/config/validation.py
@@ -67,7 +67,10 @@
     if error["type"] == "missing":
         return "a required key, which is missing"
     if error["type"] == "extra_forbidden":
-        close = difflib.get_close_matches(str(error["loc"][-1]), known, n=1)
+        key = str(error["loc"][-1])
+        # The key may be right in another place of the document.
+        others = [name for name in known if name != key]
+        close = difflib.get_close_matches(key, others, n=1)
         hint = f"; did you mean {close[0]}?" if close else ""
         return f"no such key{hint}"
     text = error["msg"]
