Judge planned stops in the soak by the time a process can run

Cause: the soak counted the grace time of a planned stop while it kept the process frozen itself. Change: only the time in which the process can run counts. Tests cover a stop without a freeze, with one, and a process that stays after its freeze.

--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -162,8 +162,11 @@
         if process is None:
             return
         process.send_signal(signal.SIGSTOP)
+        member.frozen = process
         await anyio.sleep(self._duration())
         process.send_signal(signal.SIGCONT)
+        if member.frozen is process:
+            member.frozen = None
 
     async def _crash_upstream(self, member: Member) -> None:
         if not member.upstream.is_running:
--- /dev/null
+++ b/medlardoor/soak/tests/test_world.py
@@ -0,0 +1,47 @@
+"""Tests of planned stops in the soak."""
+
+import anyio
+import pytest
+
+from medlardoor.soak import world
+
+
+class _Process:
+    """Ends after it has been asked for its status so many times."""
+
+    def __init__(self, asked_before_end):
+        self._left = asked_before_end
+
+    @property
+    def exit_status(self):
+        self._left -= 1
+        return 0 if self._left < 0 else None
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch):
+    monkeypatch.setattr(world, "GRACE_S", 0.1)
+    monkeypatch.setattr(world, "POLL_S", 0.01)
+
+
+def test_process_that_stays_is_found():
+    """A process that outlives its grace time is taken as ended."""
+    assert not anyio.run(world.wait_exit, _Process(1_000), lambda: False)
+
+
+def test_process_that_ends_is_not_reported():
+    """A process that ends within its grace time becomes a finding."""
+    assert anyio.run(world.wait_exit, _Process(5), lambda: False)
+
+
+def test_time_in_a_freeze_does_not_count():
+    """A process that was frozen during its stop becomes a finding."""
+    states = iter([True] * 50 + [False] * 1_000)
+    assert anyio.run(world.wait_exit, _Process(55), lambda: next(states))
+
+
+def test_freeze_excuses_only_its_own_time():
+    """A process that stays after its freeze has ended is not reported."""
+    states = iter([True] * 50 + [False] * 1_000)
+    ended = anyio.run(world.wait_exit, _Process(1_000), lambda: next(states))
+    assert not ended
--- a/medlardoor/soak/world.py
+++ b/medlardoor/soak/world.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import signal
+import typing
 
 import anyio
 import anyio.abc
@@ -14,7 +15,7 @@
 from medlardoor.soak import callers, evidence, relay, upstreams
 from medlardoor.standins import processes
 
-__all__ = ["KINDS", "Member", "World"]
+__all__ = ["KINDS", "Member", "World", "wait_exit"]
 
 SERVICES = ("orders", "stock")
 NODES_EACH = 3
@@ -67,6 +68,7 @@
         process: The node process; None while it is down.
         disturbed_until: When the node counts as calm again, in seconds.
         is_stopping: Whether a planned stop is in progress.
+        frozen: The process that stands still; None if none does.
     """
 
     name: str
@@ -79,12 +81,35 @@
     process: processes.ManagedProcess | None = None
     disturbed_until: float = 0.0
     is_stopping: bool = False
+    frozen: processes.ManagedProcess | None = None
 
     def address(self, role: str) -> tuple[str, int]:
         """Address of one of the listeners of the instance."""
         return self.host, _PORTS[role]
 
 
+async def wait_exit(
+    process: processes.ManagedProcess, is_frozen: typing.Callable[[], bool]
+) -> bool:
+    """Waits until a process has ended, for the grace time at most.
+
+    A process cannot end while it stands still, so only the time in which it
+    can run counts.
+
+    Args:
+        process: A process that was told to end.
+        is_frozen: Whether the process stands still.
+
+    Returns:
+        Whether the process has ended.
+    """
+    left = int(GRACE_S / POLL_S)
+    while left and process.exit_status is None:
+        left -= not is_frozen()
+        await anyio.sleep(POLL_S)
+    return process.exit_status is not None
+
+
 class World:
     """All members and the store.
 
@@ -199,11 +224,7 @@
             return
         member.is_stopping = True
         process.begin_stop()
-        for _ in range(int(GRACE_S / POLL_S)):
-            if process.exit_status is not None:
-                break
-            await anyio.sleep(POLL_S)
-        else:
+        if not await wait_exit(process, lambda: member.frozen is process):
             self.ledger.report(
                 evidence.Promise.STOP, f"{member.name}: still there after grace"
             )
