--- a/medlardoor/mesh/presence.py
+++ b/medlardoor/mesh/presence.py
@@ -21,7 +21,7 @@
 # Nodes find each other by links; lists only cover nodes that nobody has told
 # of each other. In seconds.
 RELIST_S = 20.0
-RELIST_COVERED_S = 60.0
+RELIST_COVERED_S = 300.0
 RELIST_ALONE_S = 2.0
 
 FIRST_PAUSE_S = 0.1
