Part node by topic; move what travels with a call below the deciders

After: calls/ (context, exchange, problems, arrival) lies below all deciders; node/ keeps start and assembly, and node/serving, node/transport, node/upstream and node/control follow a call downwards. Modules are moved as they were; only imports change.

--- a/medlardoor/admin/tests/test_admin.py
+++ b/medlardoor/admin/tests/test_admin.py
@@ -10,9 +10,9 @@
 from medlardoor.admin import api, page, tokens
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
+from medlardoor.calls import context
 from medlardoor.config import diff, policy
 from medlardoor.config import settings as settings_module
-from medlardoor.node import context
 from medlardoor.promotion import promoter
 from medlardoor.report import recorder
 
--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -14,9 +14,9 @@
 )
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
+from medlardoor.calls import context
 from medlardoor.config import policy as policy_module
 from medlardoor.config import settings as settings_module
-from medlardoor.node import context
 
 __all__ = [
     "AdmissionController",
--- a/medlardoor/admission/queueing.py
+++ b/medlardoor/admission/queueing.py
@@ -4,7 +4,7 @@
 from collections import abc
 import dataclasses
 
-from medlardoor.node import context
+from medlardoor.calls import context
 
 __all__ = ["Entry", "PriorityQueue"]
 
--- a/medlardoor/admission/tests/test_controller.py
+++ b/medlardoor/admission/tests/test_controller.py
@@ -11,8 +11,8 @@
 from medlardoor.admission import levels
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
+from medlardoor.calls import context
 from medlardoor.config import settings as settings_module
-from medlardoor.node import context
 
 ANSWERED = errors.Outcome.ANSWERED
 CATCH_UP_S = 1.0
--- a/medlardoor/admission/tests/test_queueing.py
+++ b/medlardoor/admission/tests/test_queueing.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 
 from medlardoor.admission import levels, queueing
-from medlardoor.node import context
+from medlardoor.calls import context
 
 
 def _call(call_id, rank=0, deadline=10.0, level=None, max_wait_s=1.0):
--- a/medlardoor/bench/controlled.py
+++ b/medlardoor/bench/controlled.py
@@ -10,8 +10,8 @@
 from medlardoor.bench import crashes, fakes, workload
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
+from medlardoor.calls import context
 from medlardoor.config import settings as settings_module
-from medlardoor.node import context
 from medlardoor.retries import budget as budget_module
 from medlardoor.retries import policy as retry_module
 from medlardoor.retries import throttle as throttle_module
--- a/medlardoor/node/arrival.py
+++ b/medlardoor/calls/arrival.py
@@ -9,8 +9,8 @@
 from medlardoor import errors
 from medlardoor.admission import levels
 from medlardoor.adoption import controller as adoption_controller
+from medlardoor.calls import context, exchange
 from medlardoor.config import policy as policy_module
-from medlardoor.node import context, exchange
 
 __all__ = ["chain_id_of", "new_call", "refusal_before_arrival", "timeout_of"]
 
--- a/medlardoor/node/problems.py
+++ b/medlardoor/calls/problems.py
@@ -4,7 +4,7 @@
 import math
 
 from medlardoor import errors
-from medlardoor.node import exchange
+from medlardoor.calls import exchange
 
 __all__ = ["OUTCOME_HEADER", "problem_body", "send_problem", "status_of"]
 
--- a/medlardoor/node/tests/test_exchange.py
+++ b/medlardoor/calls/tests/test_exchange.py
@@ -4,7 +4,7 @@
 import anyio.lowlevel
 import pytest
 
-from medlardoor.node import exchange
+from medlardoor.calls import exchange
 
 TIMEOUT_S = 5.0
 
--- a/medlardoor/node/tests/test_problems.py
+++ b/medlardoor/calls/tests/test_problems.py
@@ -6,7 +6,7 @@
 import pytest
 
 from medlardoor import errors
-from medlardoor.node import exchange, problems
+from medlardoor.calls import exchange, problems
 
 
 def send(refusal, headers=None):
--- a/medlardoor/mesh/refusals.py
+++ b/medlardoor/mesh/refusals.py
@@ -1,8 +1,8 @@
 """Responses that are not the upstream's own."""
 
 from medlardoor import errors
+from medlardoor.calls import problems
 from medlardoor.mesh import server_connection
-from medlardoor.node import problems
 
 __all__ = ["refusal_response"]
 
--- a/medlardoor/node/apps.py
+++ b/medlardoor/node/apps.py
@@ -7,16 +7,11 @@
 
 from medlardoor import logs
 from medlardoor.admin import api
-from medlardoor.node import (
-    control,
-    egress,
-    exchange,
-    executor,
-    ingress,
-    keyed,
-    parts,
-    promoting,
-)
+from medlardoor.calls import exchange
+from medlardoor.node import parts
+from medlardoor.node.control import control, promoting
+from medlardoor.node.serving import egress, ingress
+from medlardoor.node.upstream import executor, keyed
 from medlardoor.promotion import promoter
 
 __all__ = ["InProgressCounter", "NodeApps"]
--- a/medlardoor/node/assembly.py
+++ b/medlardoor/node/assembly.py
@@ -16,20 +16,17 @@
 from medlardoor.ledger import keys as keys_module
 from medlardoor.ledger import records
 from medlardoor.membership import directory, gossip
-from medlardoor.node import (
-    calls,
+from medlardoor.node import parts
+from medlardoor.node.control import (
     configuration,
     discovery,
-    forwarding,
-    gate,
     gossiping,
-    listeners,
-    parts,
-    protocol_transport,
     quarantining,
-    upstream,
 )
-from medlardoor.node import transport as transport_module
+from medlardoor.node.serving import calls, gate, listeners
+from medlardoor.node.transport import forwarding, protocol_transport
+from medlardoor.node.transport import transport as transport_module
+from medlardoor.node.upstream import upstream
 from medlardoor.quarantine import controller as quarantine_controller
 from medlardoor.report import recorder as recorder_module
 from medlardoor.retries import policy as retry_policy
--- /dev/null
+++ b/medlardoor/node/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control work of a node beside its calls."""
--- a/medlardoor/node/configuration.py
+++ b/medlardoor/node/control/configuration.py
@@ -9,8 +9,8 @@
 from medlardoor.adoption import controller as controller_module
 from medlardoor.adoption import watching
 from medlardoor.config import document
-from medlardoor.node import control
-from medlardoor.node import transport as transport_module
+from medlardoor.node.control import control
+from medlardoor.node.transport import transport as transport_module
 from medlardoor.wire import authentication
 
 __all__ = ["ConfigurationTask", "DocumentParser"]
--- a/medlardoor/node/control.py
+++ b/medlardoor/node/control/control.py
@@ -8,8 +8,8 @@
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
-from medlardoor.node import exchange, problems
-from medlardoor.node import transport as transport_module
+from medlardoor.calls import exchange, problems
+from medlardoor.node.transport import transport as transport_module
 from medlardoor.wire import authentication, codec
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
--- a/medlardoor/node/main.py
+++ b/medlardoor/node/main.py
@@ -11,7 +11,9 @@
 from medlardoor import logs
 from medlardoor.blackboard import topics
 from medlardoor.config import settings as settings_module
-from medlardoor.node import apps, assembly, listeners, maintenance, parts
+from medlardoor.node import apps, assembly, parts
+from medlardoor.node.control import maintenance
+from medlardoor.node.serving import listeners
 
 __all__ = ["run", "run_node"]
 
--- a/medlardoor/node/parts.py
+++ b/medlardoor/node/parts.py
@@ -13,16 +13,11 @@
 from medlardoor.ledger import keys as keys_module
 from medlardoor.ledger import records
 from medlardoor.membership import directory, gossip
-from medlardoor.node import (
-    calls,
-    configuration,
-    forwarding,
-    gate,
-    gossiping,
-    quarantining,
-    upstream,
-)
-from medlardoor.node import discovery as discovery_module
+from medlardoor.node.control import configuration, gossiping, quarantining
+from medlardoor.node.control import discovery as discovery_module
+from medlardoor.node.serving import calls, gate
+from medlardoor.node.transport import forwarding
+from medlardoor.node.upstream import upstream
 from medlardoor.quarantine import controller as quarantine_controller
 from medlardoor.report import recorder as recorder_module
 from medlardoor.retries import policy as retry_policy
--- a/medlardoor/node/calls.py
+++ b/medlardoor/node/serving/calls.py
@@ -4,7 +4,7 @@
 import secrets
 
 from medlardoor import errors
-from medlardoor.node import context
+from medlardoor.calls import context
 from medlardoor.retries import budget as budget_module
 
 __all__ = ["ActiveCall", "CallRegistry"]
--- a/medlardoor/node/egress.py
+++ b/medlardoor/node/serving/egress.py
@@ -10,16 +10,10 @@
 
 from medlardoor import errors, logs
 from medlardoor.blackboard import topics
-from medlardoor.node import (
-    arrival,
-    calls,
-    context,
-    exchange,
-    parts,
-    problems,
-    sending,
-)
-from medlardoor.node import upstream as upstream_module
+from medlardoor.calls import arrival, context, exchange, problems
+from medlardoor.node import parts
+from medlardoor.node.serving import calls, sending
+from medlardoor.node.upstream import upstream as upstream_module
 from medlardoor.retries import budget as budget_module
 from medlardoor.retries import policy as retry_policy
 
--- a/medlardoor/node/gate.py
+++ b/medlardoor/node/serving/gate.py
@@ -7,7 +7,7 @@
 
 from medlardoor import errors
 from medlardoor.admission import controller
-from medlardoor.node import context
+from medlardoor.calls import context
 
 __all__ = ["Gate"]
 
--- a/medlardoor/node/ingress.py
+++ b/medlardoor/node/serving/ingress.py
@@ -10,18 +10,11 @@
 from medlardoor import errors, logs
 from medlardoor.admission import levels
 from medlardoor.blackboard import topics
-from medlardoor.node import (
-    arrival,
-    calls,
-    context,
-    exchange,
-    executor,
-    forwarding,
-    keyed,
-    parts,
-    problems,
-    replays,
-)
+from medlardoor.calls import arrival, context, exchange, problems
+from medlardoor.node import parts
+from medlardoor.node.serving import calls
+from medlardoor.node.transport import forwarding
+from medlardoor.node.upstream import executor, keyed, replays
 from medlardoor.retries import budget as budget_module
 
 __all__ = ["CallerApp", "PeerApp"]
--- a/medlardoor/node/listeners.py
+++ b/medlardoor/node/serving/listeners.py
@@ -4,7 +4,7 @@
 import socket
 
 from medlardoor.config import settings as settings_module
-from medlardoor.node import servers
+from medlardoor.node.serving import servers
 
 __all__ = ["Listeners"]
 
--- a/medlardoor/node/protocol.py
+++ b/medlardoor/node/serving/protocol.py
@@ -9,8 +9,8 @@
 from uvicorn.protocols.http import httptools_impl
 
 from medlardoor import errors
+from medlardoor.calls import problems
 from medlardoor.config import settings as settings_module
-from medlardoor.node import problems
 
 __all__ = ["LimitedProtocol", "Limits"]
 
--- a/medlardoor/node/sending.py
+++ b/medlardoor/node/serving/sending.py
@@ -7,7 +7,9 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import topics
-from medlardoor.node import calls, context, exchange, parts
+from medlardoor.calls import context, exchange
+from medlardoor.node import parts
+from medlardoor.node.serving import calls
 
 __all__ = ["Attempt", "send_attempt"]
 
--- a/medlardoor/node/servers.py
+++ b/medlardoor/node/serving/servers.py
@@ -11,7 +11,7 @@
 
 from medlardoor import logs
 from medlardoor.config import settings as settings_module
-from medlardoor.node import protocol
+from medlardoor.node.serving import protocol
 
 __all__ = ["HttpListener"]
 
--- a/medlardoor/node/tests/test_egress.py
+++ b/medlardoor/node/serving/tests/test_egress.py
@@ -6,8 +6,9 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import topics
-from medlardoor.node import context, forwarding
+from medlardoor.calls import context
 from medlardoor.node.tests import inprocess
+from medlardoor.node.transport import forwarding
 
 NOT_RUN = errors.Outcome.NOT_RUN
 UNKNOWN = errors.Outcome.UNKNOWN
--- a/medlardoor/node/tests/test_gate.py
+++ b/medlardoor/node/serving/tests/test_gate.py
@@ -5,7 +5,8 @@
 
 from medlardoor import errors
 from medlardoor.admission import controller
-from medlardoor.node import context, gate
+from medlardoor.calls import context
+from medlardoor.node.serving import gate
 
 TIMEOUT_S = 5.0
 REFUSAL = errors.Refusal(
--- a/medlardoor/node/tests/inprocess.py
+++ b/medlardoor/node/tests/inprocess.py
@@ -12,18 +12,12 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import topics
+from medlardoor.calls import context, exchange
 from medlardoor.config import settings as settings_module
-from medlardoor.node import (
-    apps,
-    assembly,
-    calls,
-    context,
-    exchange,
-    forwarding,
-    listeners,
-    transport,
-)
+from medlardoor.node import apps, assembly
+from medlardoor.node.serving import calls, listeners
 from medlardoor.node.tests import system as system_module
+from medlardoor.node.transport import forwarding, transport
 from medlardoor.retries import budget as budget_module
 from medlardoor.store import memory
 
--- a/medlardoor/node/tests/scripted_server.py
+++ b/medlardoor/node/tests/scripted_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from medlardoor.node import transport
+from medlardoor.node.transport import transport
 
 
 class ScriptedServer:
--- a/medlardoor/node/tests/test_bad_messages.py
+++ b/medlardoor/node/tests/test_bad_messages.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from medlardoor.node import context, forwarding
+from medlardoor.calls import context
 from medlardoor.node.tests import system as system_module
+from medlardoor.node.transport import forwarding
 from medlardoor.wire import authentication, codec
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
--- a/medlardoor/node/tests/test_transfers.py
+++ b/medlardoor/node/tests/test_transfers.py
@@ -6,7 +6,7 @@
 import pytest
 import result
 
-from medlardoor.node import control
+from medlardoor.node.control import control
 from medlardoor.node.tests import inprocess
 from medlardoor.wire import authentication, codec
 from medlardoor.wire.generated.medlardoor_messages import ttypes
--- /dev/null
+++ b/medlardoor/node/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Exchanges with other nodes and with the upstream."""
--- a/medlardoor/node/client_connection.py
+++ b/medlardoor/node/transport/client_connection.py
@@ -6,7 +6,8 @@
 
 import httptools
 
-from medlardoor.node import exchange, transport
+from medlardoor.calls import exchange
+from medlardoor.node.transport import transport
 
 __all__ = ["MAX_BUFFERED_BYTES", "MAX_HEAD_BYTES", "ClientConnection"]
 
--- a/medlardoor/node/forwarding.py
+++ b/medlardoor/node/transport/forwarding.py
@@ -8,9 +8,9 @@
 from medlardoor import errors
 from medlardoor.admission import levels
 from medlardoor.blackboard import topics
+from medlardoor.calls import arrival, context, exchange
 from medlardoor.config import models
-from medlardoor.node import arrival, context, exchange
-from medlardoor.node import transport as transport_module
+from medlardoor.node.transport import transport as transport_module
 from medlardoor.wire import authentication, codec
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
--- a/medlardoor/node/protocol_transport.py
+++ b/medlardoor/node/transport/protocol_transport.py
@@ -6,7 +6,8 @@
 import anyio
 import result
 
-from medlardoor.node import client_connection, exchange, transport
+from medlardoor.calls import exchange
+from medlardoor.node.transport import client_connection, transport
 
 __all__ = ["ProtocolTransport"]
 
--- a/medlardoor/node/tests/test_forwarding.py
+++ b/medlardoor/node/transport/tests/test_forwarding.py
@@ -6,7 +6,8 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import topics
-from medlardoor.node import context, exchange, forwarding, transport
+from medlardoor.calls import context, exchange
+from medlardoor.node.transport import forwarding, transport
 from medlardoor.wire import authentication
 
 KEY = authentication.ClusterKey("only for these tests")
--- a/medlardoor/node/tests/test_transport.py
+++ b/medlardoor/node/transport/tests/test_transport.py
@@ -3,13 +3,13 @@
 import anyio
 import pytest
 
-from medlardoor.node import (
+from medlardoor.calls import exchange
+from medlardoor.node.tests import scripted_server
+from medlardoor.node.transport import (
     client_connection,
-    exchange,
     protocol_transport,
     transport,
 )
-from medlardoor.node.tests import scripted_server
 
 TRANSPORTS = (transport.HttpTransport, protocol_transport.ProtocolTransport)
 BOTH = pytest.mark.parametrize("make", TRANSPORTS)
--- a/medlardoor/node/transport.py
+++ b/medlardoor/node/transport/transport.py
@@ -9,7 +9,7 @@
 import result
 
 from medlardoor import errors
-from medlardoor.node import exchange
+from medlardoor.calls import exchange
 
 __all__ = [
     "Address",
--- /dev/null
+++ b/medlardoor/node/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of calls on the local upstream."""
--- a/medlardoor/node/executor.py
+++ b/medlardoor/node/upstream/executor.py
@@ -8,8 +8,10 @@
 from medlardoor import errors
 from medlardoor.admission import controller as admission_controller
 from medlardoor.blackboard import topics
-from medlardoor.node import calls, context, exchange, parts, sending
-from medlardoor.node import transport as transport_module
+from medlardoor.calls import context, exchange
+from medlardoor.node import parts
+from medlardoor.node.serving import calls, sending
+from medlardoor.node.transport import transport as transport_module
 from medlardoor.quarantine import controller as quarantine_controller
 from medlardoor.quarantine import fingerprints
 from medlardoor.retries import policy as retry_policy
--- a/medlardoor/node/keyed.py
+++ b/medlardoor/node/upstream/keyed.py
@@ -8,10 +8,13 @@
 import result
 
 from medlardoor import errors, logs
+from medlardoor.calls import exchange
 from medlardoor.ledger import keys as keys_module
 from medlardoor.ledger import records
 from medlardoor.ledger import state as ledger_state
-from medlardoor.node import exchange, executor, parts, sending
+from medlardoor.node import parts
+from medlardoor.node.serving import sending
+from medlardoor.node.upstream import executor
 
 __all__ = ["KeyedCalls"]
 
--- a/medlardoor/node/tests/test_executor.py
+++ b/medlardoor/node/upstream/tests/test_executor.py
@@ -6,8 +6,8 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import topics
-from medlardoor.node import forwarding
 from medlardoor.node.tests import inprocess
+from medlardoor.node.transport import forwarding
 from medlardoor.quarantine import fingerprints
 
 NOT_RUN = errors.Outcome.NOT_RUN
--- a/medlardoor/node/tests/test_upstream.py
+++ b/medlardoor/node/upstream/tests/test_upstream.py
@@ -4,8 +4,8 @@
 import result
 
 from medlardoor.blackboard import topics
-from medlardoor.node import upstream
 from medlardoor.node.tests import inprocess
+from medlardoor.node.upstream import upstream
 
 
 class _Monitored:
--- a/medlardoor/node/upstream.py
+++ b/medlardoor/node/upstream/upstream.py
@@ -11,9 +11,11 @@
 from medlardoor import errors, logs
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
+from medlardoor.calls import exchange, problems
 from medlardoor.config import settings as settings_module
-from medlardoor.node import calls, exchange, forwarding, problems
-from medlardoor.node import transport as transport_module
+from medlardoor.node.serving import calls
+from medlardoor.node.transport import forwarding
+from medlardoor.node.transport import transport as transport_module
 
 __all__ = ["CALL_HEADER", "LoadReport", "Upstream", "UpstreamMonitor"]
 
--- a/medlardoor/report/recorder.py
+++ b/medlardoor/report/recorder.py
@@ -3,7 +3,7 @@
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
-from medlardoor.node import context
+from medlardoor.calls import context
 from medlardoor.report import windows
 
 __all__ = ["MAX_KINDS", "OutcomeRecorder"]
--- a/medlardoor/report/tests/test_report.py
+++ b/medlardoor/report/tests/test_report.py
@@ -7,8 +7,8 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
+from medlardoor.calls import context
 from medlardoor.config import policy
-from medlardoor.node import context
 from medlardoor.report import burn, plot, recorder, windows
 
 ANSWERED = errors.Outcome.ANSWERED
--- a/medlardoor/retries/tests/test_policy.py
+++ b/medlardoor/retries/tests/test_policy.py
@@ -6,7 +6,7 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import topics
-from medlardoor.node import context
+from medlardoor.calls import context
 from medlardoor.retries import budget as budget_module
 from medlardoor.retries import policy as policy_module
 from medlardoor.retries import throttle as throttle_module
--- a/medlardoor/routing/picker.py
+++ b/medlardoor/routing/picker.py
@@ -11,8 +11,8 @@
 from medlardoor.admission import levels
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
+from medlardoor.calls import context
 from medlardoor.config import settings as settings_module
-from medlardoor.node import context
 from medlardoor.routing import health, weights
 
 __all__ = ["NodePicker", "PowerOfTwoPicker"]
--- a/medlardoor/routing/tests/test_picker.py
+++ b/medlardoor/routing/tests/test_picker.py
@@ -8,8 +8,8 @@
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
 from medlardoor.blackboard import topics
+from medlardoor.calls import context
 from medlardoor.config import settings as settings_module
-from medlardoor.node import context
 from medlardoor.routing import picker as picker_module
 
 SERVING = topics.MemberState.SERVING
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -19,6 +19,9 @@
 COLD_MS = 300
 ACK_TIMEOUT_S = 1.0
 
+# An upstream names itself in its answers; the nodes do not need it.
+_ID_HEADER = b"X-Medlardoor-Instance-Id"
+
 
 def seal_of(upstream_id: str, attempt_id: str, body: bytes) -> str:
     """Value that binds an answer to its request and its bytes."""
@@ -197,7 +200,7 @@
         return b"%b: %b\r\n%b: %b\r\n%b: %d,0,%d\r\n" % (
             names.HEADERS.attempt_id,
             attempt.encode(),
-            names.HEADERS.upstream_id,
+            _ID_HEADER,
             self.upstream_id.encode(),
             names.HEADERS.load,
             len(self._running),
--- a/medlardoor/wire/tests/test_codec.py
+++ b/medlardoor/wire/tests/test_codec.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies
 import result
 
-from medlardoor.node import context, forwarding
+from medlardoor.calls import context
+from medlardoor.node.transport import forwarding
 from medlardoor.wire import authentication, codec
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
