--- a/medlardoor/soak/callers.py
+++ b/medlardoor/soak/callers.py
@@ -134,7 +134,7 @@
     def _check_whole(self, attempt: str, found: connections.Answer) -> None:
         own = found.headers.get(names.HEADERS.attempt_id.decode().lower())
         upstream_id = found.headers.get(
-            names.HEADERS.upstream_id.decode().lower(), ""
+            upstreams.ID_HEADER.decode().lower(), ""
         )
         seal = found.headers.get(names.HEADERS.seal.decode().lower())
         wanted = upstreams.seal_of(upstream_id, attempt, found.body)
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -12,7 +12,7 @@
 from medlardoor.platform import names
 from medlardoor.soak import evidence
 
-__all__ = ["SoakUpstream", "UpstreamFault", "seal_of"]
+__all__ = ["ID_HEADER", "SoakUpstream", "UpstreamFault", "seal_of"]
 
 BEAT_S = 0.5
 SLOTS = 16
@@ -20,7 +20,7 @@
 ACK_TIMEOUT_S = 1.0
 
 # An upstream names itself in its answers; the nodes do not need it.
-_ID_HEADER = b"X-Medlardoor-Instance-Id"
+ID_HEADER = b"X-Medlardoor-Instance-Id"
 
 
 def seal_of(upstream_id: str, attempt_id: str, body: bytes) -> str:
@@ -200,7 +200,7 @@
         return b"%b: %b\r\n%b: %b\r\n%b: %d,0,%d\r\n" % (
             names.HEADERS.attempt_id,
             attempt.encode(),
-            _ID_HEADER,
+            ID_HEADER,
             self.upstream_id.encode(),
             names.HEADERS.load,
             len(self._running),
