--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -147,7 +147,8 @@
         )
         end = self._refuses_after
         if end is not None and parent is None and run.deadline > end:
-            self._reject(request, errors.Reason.LEAVING, reply)
+            left_s = max(0.0, end - request.received_at)
+            self._reject(request, errors.Reason.LEAVING, reply, left_s)
             return None
         call = calls.Call(self._services, request, route, run, reply, parent)
         call.begin(levels.nested(run.level))
@@ -158,10 +159,18 @@
         request: server_connection.Request,
         reason: errors.Reason,
         reply: server_connection.Reply,
+        back_in_s: float = 0.0,
     ) -> None:
-        """Refuses a request that no upstream has seen."""
+        """Refuses a request that no upstream has seen.
+
+        Args:
+            request: The request.
+            reason: Why it is refused.
+            reply: Takes the response.
+            back_in_s: When requests may be taken again, in seconds.
+        """
         self._recorder.rejected(request, reason)
-        retry_after_s = self._generator.uniform(0.1, 0.4)
+        retry_after_s = back_in_s + self._generator.uniform(0.1, 0.4)
         reply(
             refusals.refusal_response(
                 errors.Outcome.NOT_RUN, reason, retry_after_s
--- a/medlardoor/mesh/tests/test_planned_stop.py
+++ b/medlardoor/mesh/tests/test_planned_stop.py
@@ -43,7 +43,7 @@
     await asyncio.sleep(1.0)
     late = await stopping.call("/read/2", "late")
     assert late.status == 503
-    assert float(late.headers["retry-after"]) > 0
+    assert float(late.headers["retry-after"]) > 1.5
     assert (await early).status == 200
     await stopping.done.wait()
 
