Log which level refused a request, how old a report is, and who watches

The line of a refusal at the entry had no upstream and no level, so the service that was full could not be found from it; lines with an upstream did not say how old its report was. A node that leaves watching to others says so. A defect of a handler is logged as handler_failed, since request_failed has other fields. The set of headers of one connection exists once.

--- a/medlardoor/calls/exchange.py
+++ b/medlardoor/calls/exchange.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CallerGone",
+    "HOP_HEADERS",
     "Headers",
     "PREFIX_BYTES",
     "Reply",
@@ -36,7 +37,7 @@
 # request digests cover.
 PREFIX_BYTES = 65_536
 
-_HOP_HEADERS = frozenset(
+HOP_HEADERS = frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -81,7 +82,7 @@
     return [
         (name, value)
         for name, value in headers
-        if name not in _HOP_HEADERS and not name.startswith(_INTERNAL_PREFIX)
+        if name not in HOP_HEADERS and not name.startswith(_INTERNAL_PREFIX)
     ]
 
 
--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -104,6 +104,7 @@
         "_timer",
         "_tried",
         "is_done",
+        "path_level",
         "request",
         "route",
         "run",
@@ -132,6 +133,8 @@
         self._overload_redirects = 0
         self._may_have_run = False
         self.is_done = False
+        # Level below its route that has refused the request; 0 if none has.
+        self.path_level = 0
         self.request = request
         self.route = route
         self.run = run
@@ -159,7 +162,8 @@
         paths = self._services.paths
         if not paths.admits(self.route.name, path_level, now):
             # Its calls would be refused, and all work for it be wasted.
-            self._meet_level(paths.level_for(self.route.name, now))
+            self.path_level = paths.level_for(self.route.name, now)
+            self._meet_level(self.path_level)
             self._give_up(errors.Outcome.NOT_RUN, errors.Reason.OVERLOAD)
             return
         self._services.share(self.run.service).count_first(now)
--- a/medlardoor/mesh/documents.py
+++ b/medlardoor/mesh/documents.py
@@ -202,16 +202,24 @@
         Returns:
             Whether the document is to be read although they do.
         """
+        if not self._is_covered():
+            return False
+        self._is_watching = False
+        self._log_watch("watch_paused")
         rested_s = 0.0
         limit_s = SAFETY_READ_S * self._generator.uniform(0.7, 1.3)
         while self._is_covered():
-            self._is_watching = False
             if rested_s >= limit_s:
                 return True
             await anyio.sleep(REST_S)
             rested_s += REST_S
+        self._log_watch("watch_resumed")
         return False
 
+    def _log_watch(self, event: str) -> None:
+        revision = self._holder.revision
+        logs.log_event(_LOG, logbook.INFO, event, revision=revision)
+
     def _note(self, is_reachable: bool, detail: str) -> None:
         if is_reachable is self._is_reachable:
             return
--- a/medlardoor/mesh/http_messages.py
+++ b/medlardoor/mesh/http_messages.py
@@ -2,6 +2,8 @@
 
 import http
 
+from medlardoor.calls import exchange
+
 __all__ = [
     "CONNECTION_HEADERS",
     "encode_lines",
@@ -12,21 +14,7 @@
 
 # Headers that concern only one connection (RFC 9110, section 7.6.1), and the
 # length, which is set anew with each message.
-CONNECTION_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
+CONNECTION_HEADERS = exchange.HOP_HEADERS | {b"content-length", b"expect"}
 
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
--- a/medlardoor/mesh/recording.py
+++ b/medlardoor/mesh/recording.py
@@ -70,6 +70,9 @@
         event = "request_failed"
         if outcome is errors.Outcome.NOT_RUN:
             event = "request_refused"
+        fields = {}
+        if call.path_level:
+            fields["path_level"] = call.path_level
         self._log(
             logbook.INFO,
             event,
@@ -78,6 +81,7 @@
             outcome=outcome.value,
             reason=reason.value,
             retry_after_ms=int(retry_after_s * 1_000),
+            **fields,
         )
 
     def repeated(self, call, attempt, reason: errors.Reason) -> None:
@@ -157,6 +161,10 @@
             fields["upstream"] = candidate.instance
             fields["upstream_busy"] = candidate.busy
             fields["upstream_limit"] = candidate.limit
+            fields["upstream_level"] = candidate.level
+            if candidate.level_at:
+                reported_ms = int((now - candidate.level_at) * 1_000)
+                fields["reported_ms_ago"] = reported_ms
             fields["sent_ms_ago"] = int((now - attempt.sent_at) * 1_000)
         logs.log_request(
             _LOG,
--- a/medlardoor/mesh/server_connection.py
+++ b/medlardoor/mesh/server_connection.py
@@ -350,7 +350,7 @@
         logs.log_event(
             _LOG,
             logbook.ERROR,
-            "request_failed",
+            "handler_failed",
             error=repr(error),
             traceback="".join(traceback.format_exception(error)),
         )
--- a/medlardoor/mesh/tests/test_calls.py
+++ b/medlardoor/mesh/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from medlardoor.mesh.tests import group as group_module
@@ -303,3 +304,16 @@
 
     def __getattr__(self, name):
         return getattr(self._transport, name)
+
+
+async def test_refusal_for_a_service_below_says_so(group):
+    """The log of a refusal lacks the level that has decided it."""
+    member = group.members["o1"]
+    now = asyncio.get_running_loop().time()
+    member.node._dispatcher._paths.observe("stock", "read", 700, now)
+    with logbook.TestHandler().applicationbound() as log:
+        assert (await member.call("/read/1", "r1")).status == 503
+    fields = [record.extra.get("fields", {}) for record in log.records]
+    refused = next(f for f in fields if f.get("request_id") == "r1")
+    assert refused["path_level"] == 700
+    assert refused["call_level"] < 700
--- a/medlardoor/routing/path.py
+++ b/medlardoor/routing/path.py
@@ -55,17 +55,24 @@
         """
         if level >= self.level_for(kind, now):
             return True
-        seen_at = max(
-            entry.seen_at
-            for key, entry in self._board.paths.levels.items()
-            if key[1] == kind
-        )
-        last = max(seen_at, self._probed_at.get(kind, seen_at))
-        if now - last < PROBE_AFTER_S:
+        probed_at = self._probed_at.get(kind, 0.0)
+        if now - max(self.seen_at(kind), probed_at) < PROBE_AFTER_S:
             return False
         self._probed_at[kind] = now
         return True
 
+    def seen_at(self, kind: str) -> float:
+        """When an answer last told of the levels of a kind, in seconds.
+
+        Args:
+            kind: Kind of the call.
+        """
+        levels = self._board.paths.levels
+        return max(
+            (entry.seen_at for key, entry in levels.items() if key[1] == kind),
+            default=0.0,
+        )
+
     def level_for(self, kind: str, now: float) -> int:
         """Highest level on the paths of a kind.
 
