--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -77,6 +77,7 @@
         self._generator = generator
         self._connections: set[_UpstreamSocket] = set()
         self._server: asyncio.Server | None = None
+        self._is_started = False
         self._running: set[_Running] = set()
         self._beats: asyncio.Task | None = None
         self._state = "ready"
@@ -100,7 +101,10 @@
         return self._server is not None
 
     async def start(self) -> None:
-        """Starts under a new identifier."""
+        """Starts under a new identifier, unless another fault has done so."""
+        if self._is_started:
+            return
+        self._is_started = True
         self._born_ms = time.time_ns() // 1_000_000
         self.upstream_id = f"i-{self._generator.getrandbits(48):012x}"
         self._state = "ready"
@@ -116,6 +120,7 @@
             return
         self._server.close()
         self._server = None
+        self._is_started = False
         self._beats.cancel()
         for running in list(self._running):
             running.cancel()
@@ -128,12 +133,16 @@
         Args:
             drain_s: How long it serves after the acknowledgement, in seconds.
         """
+        own_id = self.upstream_id
         self._state = "draining"
         if await self._beat():
-            self._ledger.acknowledged_leaving(self.upstream_id)
+            self._ledger.acknowledged_leaving(own_id)
         await asyncio.sleep(drain_s)
-        while self._running:  # noqa: ASYNC110
+        while self._running and self.upstream_id == own_id:  # noqa: ASYNC110
             await asyncio.sleep(0.05)
+        if not self.is_running or self.upstream_id != own_id:
+            # It has crashed meanwhile.
+            return
         await self._post(names.LEAVE_PATH, {"born": self._born_ms})
         self.crash()
 
