Accept uploads; run requests of unknown kinds once at most

Cause: the decoder of the operator's document accepted the kinds safe and unsafe only.

Ruled out: dropping only the routes of an unknown kind. Their callers would get 404 although a route is there.

Change: every kind but safe is treated as not idempotent. Kinds without a known meaning are named in the log on adoption and by the check command. The test that wanted an unknown word refused now wants it treated as not idempotent, which is stricter for the route: its requests are served, and run once at most. A kind that is no text is still refused.

--- a/medlardoor/cli/platform_check.py
+++ b/medlardoor/cli/platform_check.py
@@ -8,7 +8,7 @@
 
 from medlardoor import errors
 from medlardoor.cli import settings_option
-from medlardoor.config import files
+from medlardoor.config import files, routes
 from medlardoor.platform import documents, settings
 
 __all__ = ["PlatformCheckCommand", "main"]
@@ -37,6 +37,7 @@
             checked = check(path)
             if checked.is_ok():
                 self.line(f"{path} is valid.")
+                self._warn(path, checked.ok_value)
                 continue
             status = settings_option.EXIT_INVALID
             for fault in checked.err_value.faults:
@@ -44,6 +45,15 @@
                 self.line_error(f"{place}: {fault.path}: {fault.expected}")
         return status
 
+    def _warn(self, path: str, checked: object) -> None:
+        """Names what is valid and yet may not be meant so."""
+        if not isinstance(checked, routes.RouteDocument):
+            return
+        for kind in checked.unknown_kinds:
+            self.line_error(
+                f"{path}: unknown kind {kind!r}: its requests run once at most"
+            )
+
 
 def _load_document(path: str) -> result.Result[object, errors.InvalidInput]:
     text = files.read_text(path)
--- a/medlardoor/config/routes.py
+++ b/medlardoor/config/routes.py
@@ -94,12 +94,15 @@
         routes: All routes.
         services: All services by name.
         limits: Limits of callers' connections.
+        unknown_kinds: Kinds of routes that the decoder does not know; their
+            requests are treated as not idempotent.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceEntry]
     limits: ConnectionLimits
+    unknown_kinds: tuple[str, ...] = ()
 
 
 class RouteTable:
--- a/medlardoor/mesh/documents.py
+++ b/medlardoor/mesh/documents.py
@@ -129,6 +129,14 @@
             routes=len(document.routes),
             source=source,
         )
+        if document.unknown_kinds:
+            logs.log_event(
+                _LOG,
+                logbook.WARNING,
+                "route_kinds_unknown",
+                version=document.version,
+                kinds=[kind[:32] for kind in document.unknown_kinds[:8]],
+            )
         for listener in self._listeners:
             listener()
         return True
--- a/medlardoor/platform/documents.py
+++ b/medlardoor/platform/documents.py
@@ -12,6 +12,10 @@
 
 __all__ = ["ConfigDecoder"]
 
+# Requests of this kind may run more than once.
+_IDEMPOTENT_KIND = "safe"
+_KNOWN_KINDS = frozenset({_IDEMPOTENT_KIND, "unsafe", "upload"})
+
 
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
@@ -44,7 +48,7 @@
 
 class _Rule(_Model):
     name: str = ""
-    kind: typing.Literal["safe", "unsafe"]
+    kind: str
     # Time within which an answer earns its full value.
     targetLatency: settings.Duration  # noqa: N815
     priority: int
@@ -102,6 +106,7 @@
 
 def _to_document(config: _Config) -> routes.RouteDocument:
     limits = config.limits
+    kinds = {rule.kind for each in config.listeners for rule in each.rules}
     return routes.RouteDocument(
         version=config.version,
         routes=tuple(
@@ -121,6 +126,7 @@
             head_timeout_s=limits.headerTimeout,
             idle_timeout_s=limits.idleTimeout,
         ),
+        unknown_kinds=tuple(sorted(kinds - _KNOWN_KINDS)),
     )
 
 
@@ -138,7 +144,7 @@
         name=rule.name,
         host=listener.host.lower().encode(),
         path_prefix=rule.match.pathPrefix.encode(),
-        idempotent=rule.kind == "safe",
+        idempotent=rule.kind == _IDEMPOTENT_KIND,
         goal_s=rule.targetLatency,
         timeout_s=action.timeout,
         priority=rule.priority,
