Bound the head of an upstream's answer; free the slots of overdue runs

Cause: an upstream that sent header lines, one header value or interim answers without end was read for ever: 300 MB were taken for one answer. An order whose connection had gone silent was never interrupted, so it held its slot for ever; with all slots held the upstream got nothing any more.

Surplus bytes behind an answer were parsed after the answer had been reported. The connection could carry the next request by then, which ended as unknown, although its upstream had done nothing wrong.

Ruled out: interrupting orders at their deadline. The upstream answers then by itself, and its answer tells whether the order has run.

Change: 64 KB of head and eight interim answers; a run is given up one second after its deadline and logged; an answer is reported after all bytes that came with it are parsed.

Tests: test_head_without_end_closes_the_connection (3 cases), test_surplus_after_an_answer_harms_no_other_request and test_silent_upstream_does_not_keep_the_slots_of_orders failed before.

--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -90,6 +90,11 @@
         run = self.run
         connection.send(message, run.attempt_id, run.method == b"HEAD", self)
 
+    def give_up(self) -> None:
+        """Ends a run whose answer is overdue."""
+        self._connection.abort()
+        self.broken(self._connection, "Overdue")
+
     def connect_failed(self, detail: str, refused: bool) -> None:
         """Reports that there was no connection to send the request on."""
         self._owner.ended(self, good=False, broken=False)
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -150,11 +150,26 @@
         self._pool.sweep(now)
         self._crashes.tick(now)
         self._room.tick(now)
+        self._end_overdue(now)
         self.pump()
         silent = now - self._heard_at > SILENT_S
         if silent and not self._is_down and self._register.usable:
             self._set_down("silent")
 
+    def _end_overdue(self, now: float) -> None:
+        """Frees the slots of runs whose connections have gone silent."""
+        latest = now - self._settings.connections.overdue_s
+        overdue = [h for h in self._sent.values() if h.run.deadline < latest]
+        for handle in overdue:
+            logs.log_request(
+                _LOG,
+                logbook.WARNING,
+                "run_overdue",
+                request_id=handle.run.attempt_id.decode("latin-1"),
+                late_ms=int((now - handle.run.deadline) * 1_000),
+            )
+            handle.give_up()
+
     def _reason_to_refuse(
         self, run: runs.Run, now: float
     ) -> errors.Reason | None:
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -99,13 +99,21 @@
         max_idle_not_idempotent_s: The same for requests that must not run
             twice: if the upstream closes the connection at that moment, they
             cannot be sent again.
-        max_answer_bytes: Longest answer.
+        max_head_bytes: Longest head of an answer, interim ones included.
+        max_interim_answers: Interim answers (1xx) before the final one.
+        max_answer_bytes: Longest body of an answer.
+        overdue_s: A request without an answer is given up so long after its
+            deadline. An upstream answers at the deadline by itself, so the
+            connection has gone silent by then.
     """
 
     connect_timeout_s: float = 1.0
     max_idle_s: float = 4.0
     max_idle_not_idempotent_s: float = 1.0
+    max_head_bytes: int = 65_536
+    max_interim_answers: int = 8
     max_answer_bytes: int = 67_108_864
+    overdue_s: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/medlardoor/mesh/tests/test_calls.py
+++ b/medlardoor/mesh/tests/test_calls.py
@@ -105,6 +105,18 @@
     assert loop.time() - begun < 0.8
 
 
+async def test_silent_upstream_does_not_keep_the_slots_of_orders(group):
+    """Orders that never get an answer hold their slots for ever."""
+    order = group.members["o1"]
+    order.upstream.delay_s = 600.0
+    answer = await order.call("/order/1", method="POST", deadline_ms=300)
+    assert answer.status == 504
+    room = order.node._local.room
+    assert room.running == 1
+    await group_module.wait_until(lambda: room.running == 0, timeout_s=3.0)
+    assert order.upstream.cancelled
+
+
 async def test_leaving_upstream_gets_nothing_new(group):
     """An upstream that has announced its end gets new requests."""
     leaving = group.members["s1"]
--- a/medlardoor/mesh/tests/test_upstream_connection.py
+++ b/medlardoor/mesh/tests/test_upstream_connection.py
@@ -223,3 +223,67 @@
         assert exchange.events.answers[1].body == b""
 
     run(check)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"X-Filler: " + b"a" * 990 + b"\r\n",
+        b"a" * 1_000,
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+    ],
+    ids=["headers", "value", "interim answers"],
+)
+def test_head_without_end_closes_the_connection(run, part):
+    """An upstream fills the memory of the node with a head without end."""
+
+    def check(exchange):
+        if not part.startswith(b"HTTP"):
+            exchange.receive(b"HTTP/1.1 200 OK\r\nX-Start: ")
+        for _ in range(200):
+            if exchange.events.breaks:
+                break
+            exchange.receive(part)
+        assert len(exchange.events.breaks) == 1
+        assert exchange.transport.aborted
+        assert exchange.events.answers == []
+
+    run(check)
+
+
+def test_interim_answers_of_earlier_requests_do_not_count(run):
+    """A kept connection breaks after a number of uses."""
+
+    def check(exchange):
+        for number in range(40):
+            exchange.receive(b"HTTP/1.1 100 Continue\r\n\r\n")
+            exchange.receive(_answer(b"id-%d" % (number + 1)))
+            exchange.send(b"id-%d" % (number + 2))
+        assert len(exchange.events.answers) == 40
+        assert exchange.events.breaks == []
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    "surplus",
+    [b"no answer at all\r\n\r\n", _answer(b"id-1", b"again"), b"HTTP/1.1 2"],
+    ids=["garbage", "second answer", "partial answer"],
+)
+def test_surplus_after_an_answer_harms_no_other_request(run, surplus):
+    """The next request is sent on a connection with surplus bytes."""
+
+    def check(exchange):
+        events = exchange.events
+        usable = []
+        events.answered = lambda connection, answer: (
+            events.answers.append(answer),
+            usable.append(exchange.is_usable()),
+        )
+        exchange.receive(_answer() + surplus)
+        assert [a.body for a in events.answers] == [b"done"]
+        assert events.breaks == []
+        # Known when the answer is reported, before the next request is sent.
+        assert usable == [False]
+
+    run(check)
--- a/medlardoor/mesh/upstream_connection.py
+++ b/medlardoor/mesh/upstream_connection.py
@@ -76,12 +76,17 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._events: ConnectionEvents | None = None
+        # Complete answer to the request in progress that is not reported yet.
+        self._answer: UpstreamAnswer | None = None
         self._attempt_id = b""
         self._without_body = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_size = 0
-        self._in_head = False
+        # Bytes since the last complete head.
+        self._head_size = 0
+        self._interim_answers = 0
+        self._in_head = True
         self._ends_with_connection = False
         self._spoiled = False
         self._idle_since = self._loop.time()
@@ -128,6 +133,8 @@
         self._events = events
         self._attempt_id = attempt_id
         self._without_body = without_body
+        self._head_size = 0
+        self._interim_answers = 0
         self._uses += 1
         self._transport.write(message)
 
@@ -144,16 +151,29 @@
             # Bytes without a request belong to nothing.
             self.abort()
             return
+        if self._in_head:
+            self._head_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._break(type(error).__name__)
+            if self._answer is None:
+                self._break(type(error).__name__)
+                return
+            self._spoiled = True
+        if self._answer is not None:
+            # Reported only now: the next request must not be sent while
+            # surplus bytes may follow the answer.
+            self._report()
+        elif self._in_head and self._head_size > self._settings.max_head_bytes:
+            self._break("HeadTooLong")
 
     def eof_received(self) -> bool:
         """Ends an answer that has no length of its own."""
         if self._ends_with_connection and self._events is not None:
             self._spoiled = True
             self._complete()
+            if self._answer is not None:
+                self._report()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -164,6 +184,8 @@
 
     def on_message_begin(self) -> None:
         """Starts an answer."""
+        if self._answer is not None:
+            self._spoiled = True
         self._headers = []
         self._body = []
         self._body_size = 0
@@ -178,10 +200,14 @@
 
     def on_headers_complete(self) -> None:
         """Finds out how the answer ends."""
-        self._in_head = False
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
+            self._interim_answers += 1
+            if self._interim_answers > self._settings.max_interim_answers:
+                self._break("TooManyInterimAnswers")
             return
+        self._in_head = False
+        self._head_size = 0
         names = {name for name, _ in self._headers}
         if not self._parser.should_keep_alive():
             self._spoiled = True
@@ -203,12 +229,12 @@
 
     def on_message_complete(self) -> None:
         """Ends an answer."""
+        self._in_head = True
         if self._parser.get_status_code() >= _FIRST_FINAL_STATUS:
             self._complete()
 
     def _complete(self) -> None:
-        events = self._events
-        if events is None:
+        if self._events is None or self._answer is not None:
             self._spoiled = True
             return
         answer = UpstreamAnswer(
@@ -227,7 +253,13 @@
             else:
                 self._spoiled = True
                 return
+        self._answer = answer
+
+    def _report(self) -> None:
+        """Reports the complete answer."""
+        events, answer = self._events, self._answer
         self._events = None
+        self._answer = None
         self._idle_since = self._loop.time()
         self._read_keep_alive(answer)
         if self._transport is None or self._transport.get_write_buffer_size():
