Run safe requests of one connection beside each other; bound the bytes of bodies

Cause: a connection ran one request at a time. A node also held any number of bodies: only their count was bounded.

Ruled out: more connections to the upstreams. They had free slots.

Change: mesh/pipeline starts requests that may run more than once beside each other, keeps answers and sends them in order. Any other request waits for all before it, since behind an answer that closes the connection it counts as not read. Malformed input is refused after the answers of the requests before it. admission/buffers counts the bytes of bodies in a node, from the memory in its settings; without room a request is refused before its body is read, the least urgent first, and the connection stays open for what is under way. Request and response types moved to mesh/handlers.

--- a/medlardoor/errors.py
+++ b/medlardoor/errors.py
@@ -53,6 +53,7 @@
     UNKNOWN_KIND = "unknown_kind"
     UNKNOWN_SERVICE = "unknown_service"
     INVALID_REQUEST = "invalid_request"
+    BUFFERS_FULL = "buffers_full"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -7,13 +7,7 @@
 from medlardoor import errors
 from medlardoor.config import routes as routes_module
 from medlardoor.mesh import fleet as fleet_module
-from medlardoor.mesh import (
-    local_run,
-    recording,
-    refusals,
-    runs,
-    server_connection,
-)
+from medlardoor.mesh import handlers, local_run, recording, refusals, runs
 from medlardoor.retries import shares
 from medlardoor.routing import path as path_module
 from medlardoor.routing import placement as placement_module
@@ -36,6 +30,7 @@
         errors.Reason.NO_UPSTREAM,
         errors.Reason.UPSTREAM_UNAVAILABLE,
         errors.Reason.NODE_UNREACHABLE,
+        errors.Reason.BUFFERS_FULL,
     }
 )
 _OVERLOADED = frozenset({errors.Reason.OVERLOAD, errors.Reason.QUEUE_TIMEOUT})
@@ -78,7 +73,7 @@
     sent_at: float
 
 
-class Call(server_connection.RequestHandle):
+class Call(handlers.RequestHandle):
     """One request of a caller.
 
     Args:
@@ -114,10 +109,10 @@
     def __init__(
         self,
         services: Services,
-        request: server_connection.Request,
+        request: handlers.Request,
         route: routes_module.Route,
         run: runs.Run,
-        reply: server_connection.Reply,
+        reply: handlers.Reply,
         parent: local_run.LocalRun | None,
     ):
         self._services = services
@@ -339,9 +334,7 @@
         self._end()
         self._services.recorder.answered(self, self._attempt, result)
         self._reply(
-            server_connection.Response(
-                result.status, result.headers, result.body
-            )
+            handlers.Response(result.status, result.headers, result.body)
         )
 
     def _give_up(self, outcome: errors.Outcome, reason: errors.Reason) -> None:
--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -8,13 +8,13 @@
 from medlardoor.mesh import (
     calls,
     documents,
+    handlers,
     http_messages,
     local_run,
     local_upstream,
     recording,
     refusals,
     runs,
-    server_connection,
 )
 from medlardoor.mesh import fleet as fleet_module
 from medlardoor.mesh import settings as settings_module
@@ -34,7 +34,7 @@
 _WITHOUT_CONTENT = (b"GET", b"HEAD")
 
 
-class Dispatcher(server_connection.RequestHandler):
+class Dispatcher(handlers.RequestHandler):
     """Handles the requests of the callers of this instance.
 
     Args:
@@ -120,11 +120,29 @@
         """
         self._refuses_after = end
 
+    def may_overlap(self, request: handlers.Request) -> bool:
+        """Whether a request may run more than once; see `RequestHandler`."""
+        route = self._find(request.host, request.target)
+        return route is not None and route.idempotent
+
+    def body_level(self, host: bytes, target: bytes) -> int:
+        """Importance of a request; see `RequestHandler`."""
+        route = self._find(host, target)
+        return 0 if route is None else self._fresh_level(route, b"")
+
+    def refuse_body(self, host: bytes, target: bytes) -> handlers.Response:
+        """Refuses a request without its body; see `RequestHandler`."""
+        reason = errors.Reason.BUFFERS_FULL
+        self._recorder.rejected(b"", host, target, reason)
+        return refusals.refusal_response(
+            errors.Outcome.NOT_RUN, reason, self._soon_s()
+        )
+
     def handle(
         self,
-        request: server_connection.Request,
-        reply: server_connection.Reply,
-    ) -> server_connection.RequestHandle | None:
+        request: handlers.Request,
+        reply: handlers.Reply,
+    ) -> handlers.RequestHandle | None:
         """Handles a request; see `RequestHandler`."""
         table = self._holder.table
         reason = None
@@ -156,9 +174,9 @@
 
     def _reject(
         self,
-        request: server_connection.Request,
+        request: handlers.Request,
         reason: errors.Reason,
-        reply: server_connection.Reply,
+        reply: handlers.Reply,
         back_in_s: float = 0.0,
     ) -> None:
         """Refuses a request that no upstream has seen.
@@ -169,14 +187,25 @@
             reply: Takes the response.
             back_in_s: When requests may be taken again, in seconds.
         """
-        self._recorder.rejected(request, reason)
-        retry_after_s = back_in_s + self._generator.uniform(0.1, 0.4)
+        attempt_id = request.header(self._attempt_name) or b""
+        self._recorder.rejected(
+            attempt_id, request.host, request.target, reason
+        )
+        retry_after_s = back_in_s + self._soon_s()
         reply(
             refusals.refusal_response(
                 errors.Outcome.NOT_RUN, reason, retry_after_s
             )
         )
 
+    def _soon_s(self) -> float:
+        """Draws a short time to come back, in seconds."""
+        return self._generator.uniform(0.1, 0.4)
+
+    def _find(self, host: bytes, target: bytes) -> routes_module.Route | None:
+        table = self._holder.table
+        return None if table is None else table.find(host, target)
+
     def _share(self, service: str) -> shares.RetryShare:
         """Bound on repeated sends to a service."""
         share = self._shares.get(service)
@@ -211,13 +240,18 @@
         """Level of a request; a call has that of the request it is made for."""
         if parent is not None:
             return levels.nested(parent.run.level)
+        return self._fresh_level(route, attempt_id)
+
+    def _fresh_level(
+        self, route: routes_module.Route, attempt_id: bytes
+    ) -> int:
         least_urgent = self._holder.table.least_urgent_priority
         importance = max(0, least_urgent - route.priority)
         return levels.fresh(importance, attempt_id)
 
     def _to_run(
         self,
-        request: server_connection.Request,
+        request: handlers.Request,
         route: routes_module.Route,
         level: int,
     ) -> runs.Run:
--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -23,6 +23,7 @@
         "_owner",
         "_path_level",
         "_report",
+        "buffered",
         "holds_slot",
         "run",
         "ticket",
@@ -44,11 +45,15 @@
         self.ticket = waiting.Ticket(run.level, run.deadline, run.goal_by, self)
         self.holds_slot = False
         self.was_sent = False
+        # Bytes that are held for the body.
+        self.buffered = 0
 
     def finish(self, result: runs.RunResult) -> None:
         """Reports the result unless the run was cancelled."""
         if not self._is_cancelled:
             self._is_cancelled = True
+            if not self.holds_slot:
+                self._owner.release(self)
             result.path_level = self._path_level
             self._report(result)
 
@@ -65,6 +70,7 @@
         self._is_cancelled = True
         if not self.was_sent:
             self._owner.room.withdraw(self.ticket)
+            self._owner.release(self)
             if self.holds_slot:
                 self._owner.ended(self, good=False, broken=False)
             return
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -6,6 +6,7 @@
 import logbook
 
 from medlardoor import errors, logs
+from medlardoor.admission import buffers as buffers_module
 from medlardoor.admission import waiting
 from medlardoor.membership import announcements
 from medlardoor.mesh import (
@@ -47,6 +48,7 @@
         settings: Settings of the node.
         register: What is known of the upstream.
         crash_watch: Attributes crashes to requests.
+        buffers: Bytes that are held for bodies.
     """
 
     def __init__(
@@ -54,17 +56,20 @@
         settings: settings_module.MeshSettings,
         register: announcements.UpstreamRegister,
         crash_watch: crashes.CrashWatch,
+        buffers: buffers_module.BufferBudget,
     ):
         self._settings = settings
         self._headers = settings.headers
         self._register = register
         self._crashes = crash_watch
+        self._buffers = buffers
         self._loop = asyncio.get_running_loop()
         self._room = waiting.WaitingRoom(settings.waiting)
         self._pool = upstream_pool.UpstreamPool(
             settings.connections,
             settings.upstream,
             settings.headers.attempt_id.lower(),
+            buffers,
         )
         self._tasks: set[asyncio.Task] = set()
         self._started: dict[bytes, None] = {}
@@ -126,6 +131,10 @@
         if reason is not None:
             handle.finish(self._refused(reason))
             return handle
+        if not self._buffers.try_take_request(len(run.body), run.level):
+            handle.finish(self._refused(errors.Reason.BUFFERS_FULL))
+            return handle
+        handle.buffered = len(run.body)
         decision = self._room.offer(handle.ticket, now)
         if decision is waiting.Decision.REFUSE:
             handle.finish(self._refused(errors.Reason.OVERLOAD))
@@ -232,6 +241,11 @@
             ]
         )
 
+    def release(self, handle: local_run.LocalRun) -> None:
+        """Gives back what is held for the body of a run."""
+        self._buffers.release(handle.buffered)
+        handle.buffered = 0
+
     def note_started(self, handle: local_run.LocalRun) -> None:
         """Notes that a request is being sent."""
         run = handle.run
@@ -263,6 +277,7 @@
         if handle.holds_slot:
             handle.holds_slot = False
             self._room.end(handle.ticket, now, good)
+        self.release(handle)
         self.pump()
 
     def connect_failed(self, detail: str, refused: bool) -> None:
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -7,7 +7,7 @@
 import logbook
 
 from medlardoor import logs
-from medlardoor.admission import levels
+from medlardoor.admission import buffers, levels
 from medlardoor.blackboard import board as board_module
 from medlardoor.config import settings as product_settings
 from medlardoor.membership import announcements
@@ -16,6 +16,7 @@
     dispatch,
     documents,
     fleet,
+    handlers,
     local_upstream,
     observing,
     presence,
@@ -78,8 +79,9 @@
         )
         self._register = announcements.UpstreamRegister()
         self._crashes = crashes.CrashWatch(quarantine, board, self._publish)
+        self._buffers = buffers.BufferBudget(settings.buffer_bytes)
         self._local = local_upstream.LocalUpstream(
-            settings, self._register, self._crashes
+            settings, self._register, self._crashes, self._buffers
         )
         self._holder = documents.DocumentHolder(decoder)
         self._fleet = fleet.Fleet(
@@ -158,7 +160,7 @@
             self._fleet.status_changed()
 
     async def run(
-        self, control: server_connection.RequestHandler, stop: anyio.Event
+        self, control: handlers.RequestHandler, stop: anyio.Event
     ) -> None:
         """Runs until a planned stop has ended.
 
@@ -190,7 +192,7 @@
             self._fleet.close()
 
     async def _listen(
-        self, control: server_connection.RequestHandler
+        self, control: handlers.RequestHandler
     ) -> list[asyncio.Server]:
         settings = self._settings
         ready = observing.PageHandler(
@@ -211,7 +213,7 @@
             servers.append(
                 await self._loop.create_server(
                     lambda h=handler: server_connection.ServerConnection(
-                        h, self._connections
+                        h, self._connections, self._buffers
                     ),
                     address.host,
                     address.port,
@@ -348,6 +350,7 @@
             "nodes_known": self._fleet.size,
             "links_open": self._fleet.open_links,
             "requests_in_progress": self._dispatcher.in_progress,
+            "buffered_bytes": self._buffers.used_bytes,
             "upstream_limit": room.limit,
             "upstream_running": room.running,
             "upstream_waiting": room.waiting,
--- a/medlardoor/mesh/observing.py
+++ b/medlardoor/mesh/observing.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from medlardoor.config import routes
-from medlardoor.mesh import server_connection
+from medlardoor.mesh import handlers
 
 __all__ = ["InternalHandler", "Page", "PageHandler"]
 
@@ -26,7 +26,7 @@
     render: collections.abc.Callable[[], tuple[int, str]]
 
 
-class InternalHandler(server_connection.RequestHandler):
+class InternalHandler(handlers.RequestHandler):
     """Handler of short requests on kept connections."""
 
     @property
@@ -52,14 +52,14 @@
 
     def handle(
         self,
-        request: server_connection.Request,
-        reply: server_connection.Reply,
+        request: handlers.Request,
+        reply: handlers.Reply,
     ) -> None:
         """Answers with the page of the path."""
         page = self._pages.get(request.target.partition(b"?")[0])
         status, text = (_NOT_FOUND, "") if page is None else page.render()
         reply(
-            server_connection.Response(
+            handlers.Response(
                 status, b"content-type: text/plain\r\n", text.encode()
             )
         )
--- a/medlardoor/mesh/recording.py
+++ b/medlardoor/mesh/recording.py
@@ -6,7 +6,7 @@
 import logbook
 
 from medlardoor import errors, logs
-from medlardoor.mesh import runs, server_connection
+from medlardoor.mesh import runs
 
 __all__ = ["Recorder"]
 
@@ -101,17 +101,28 @@
         self._log(logbook.INFO, "request_cancelled", call, attempt)
 
     def rejected(
-        self, request: server_connection.Request, reason: errors.Reason
+        self,
+        attempt_id: bytes,
+        host: bytes,
+        target: bytes,
+        reason: errors.Reason,
     ) -> None:
-        """Counts and logs a request without a route."""
+        """Counts and logs a request that was not tried.
+
+        Args:
+            attempt_id: Its identifier; empty if it is not known.
+            host: Value of its ``Host`` header.
+            target: Its path and query.
+            reason: Why it was not tried.
+        """
         self._count("", errors.Outcome.NOT_RUN.value, reason.value)
         logs.log_request(
             _LOG,
             logbook.INFO,
             "request_rejected",
-            request_id=_text(request.header(self._attempt_header) or b""),
-            host=_text(request.host),
-            target=_text(request.target)[:200],
+            request_id=_text(attempt_id),
+            host=_text(host),
+            target=_text(target)[:200],
             reason=reason.value,
         )
 
--- a/medlardoor/mesh/refusals.py
+++ b/medlardoor/mesh/refusals.py
@@ -2,7 +2,7 @@
 
 from medlardoor import errors
 from medlardoor.calls import problems
-from medlardoor.mesh import server_connection
+from medlardoor.mesh import handlers
 
 __all__ = ["refusal_response"]
 
@@ -24,7 +24,7 @@
     outcome: errors.Outcome,
     reason: errors.Reason,
     retry_after_s: float = 0.0,
-) -> server_connection.Response:
+) -> handlers.Response:
     """Makes the response of a request that got no answer of an upstream.
 
     Args:
@@ -49,4 +49,4 @@
     if status == NOT_RUN_STATUS and retry_after_s > 0:
         headers += b"retry-after: %.3f\r\n" % retry_after_s
     body = problems.problem_body(refusal, b"", "", status)
-    return server_connection.Response(status, headers, body)
+    return handlers.Response(status, headers, body)
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -159,6 +159,7 @@
         retries: Bound on repeated sends to each service.
         placement: Choice of upstreams.
         neighbours: Numbers of links to other nodes.
+        buffer_bytes: Most bytes of bodies that the node holds at one time.
     """
 
     instance: str
@@ -185,3 +186,4 @@
     neighbours: neighbours_module.NeighbourSettings = (
         neighbours_module.NeighbourSettings()
     )
+    buffer_bytes: int = 128_000_000
--- /dev/null
+++ b/medlardoor/mesh/tests/test_buffers.py
@@ -0,0 +1,69 @@
+"""Tests of large bodies between nodes with little memory."""
+
+import asyncio
+
+import pytest
+
+from medlardoor.mesh.tests import group as group_module
+
+pytestmark = pytest.mark.anyio
+
+BUFFER_BYTES = 4_000_000
+UPLOADS = 60
+UPLOAD_BYTES = 360_000
+
+
+@pytest.fixture
+async def small():
+    """Nodes that hold few bytes; the upstream for orders is slow."""
+    async with group_module.group_of(buffer_bytes=BUFFER_BYTES) as group:
+        group.members["o1"].upstream.delay_s = 0.2
+        yield group
+
+
+async def test_many_uploads_stay_within_the_memory(small):
+    """Large bodies fill the memory of a node, or uploads are lost."""
+    entry, called = small.members["s1"], small.members["o1"]
+    budgets = [m.node._buffers for m in small.members.values()]
+    highest = 0
+
+    async def watch():
+        nonlocal highest
+        while True:
+            highest = max(highest, *(b.used_bytes for b in budgets))
+            await asyncio.sleep(0.002)
+
+    watching = asyncio.create_task(watch())
+    answers = await asyncio.gather(
+        *(
+            entry.call(f"/order/{n}", f"a{n}", "POST", body=bytes(UPLOAD_BYTES))
+            for n in range(UPLOADS)
+        )
+    )
+    watching.cancel()
+    assert highest <= BUFFER_BYTES
+    assert {a.status for a in answers} <= {200, 503}
+    ran = {run.header(b"x-attempt").decode() for run in called.upstream.runs}
+    answered = {f"a{n}" for n, a in enumerate(answers) if a.status == 200}
+    assert ran == answered
+    assert answered
+    await group_module.wait_until(
+        lambda: not any(b.used_bytes for b in budgets)
+    )
+
+
+async def test_slow_caller_keeps_its_bytes_counted(small):
+    """Answers that callers do not read fill the memory uncounted."""
+    entry = small.members["s1"]
+    called = small.members["o1"].upstream
+    called.delay_s = 0.0
+    called.extra_headers = b"X-Filler: " + b"f" * 60_000 + b"\r\n"
+    reader, writer = await asyncio.open_connection(
+        entry.host, entry.settings.caller_address.port, limit=1_000
+    )
+    request = b"GET /order/1 HTTP/1.1\r\nHost: x\r\nX-Attempt: a%d\r\n\r\n"
+    for n in range(200):
+        writer.write(request % n)
+    await group_module.wait_until(lambda: entry.node._buffers.used_bytes > 0)
+    writer.transport.abort()
+    await group_module.wait_until(lambda: entry.node._buffers.used_bytes == 0)
--- a/medlardoor/mesh/upstream_connection.py
+++ b/medlardoor/mesh/upstream_connection.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from medlardoor.admission import buffers as buffers_module
 from medlardoor.mesh import http_messages
 from medlardoor.mesh import settings as settings_module
 
@@ -65,13 +66,18 @@
         settings: Limits.
         attempt_header: Name of the header with the attempt identifier, in
             lower case.
+        buffers: Bytes that are held for bodies.
     """
 
     def __init__(
-        self, settings: settings_module.UpstreamSettings, attempt_header: bytes
+        self,
+        settings: settings_module.UpstreamSettings,
+        attempt_header: bytes,
+        buffers: buffers_module.BufferBudget,
     ):
         self._settings = settings
         self._attempt_header = attempt_header
+        self._buffers = buffers
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -82,6 +88,7 @@
         self._without_body = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
+        # Bytes of the body, which are counted in the buffers.
         self._body_size = 0
         # Bytes since the last complete head.
         self._head_size = 0
@@ -140,6 +147,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once; nothing is reported."""
+        self._drop_body()
         self._events = None
         self._spoiled = True
         if self._transport is not None:
@@ -186,9 +194,8 @@
         """Starts an answer."""
         if self._answer is not None:
             self._spoiled = True
+        self._drop_body()
         self._headers = []
-        self._body = []
-        self._body_size = 0
         self._in_head = True
         self._ends_with_connection = False
 
@@ -221,11 +228,15 @@
 
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body."""
-        self._body_size += len(body)
-        if self._body_size > self._settings.max_answer_bytes:
-            self._break("AnswerTooLong")
+        if self._events is None:
             return
-        self._body.append(body)
+        if self._body_size + len(body) > self._settings.max_answer_bytes:
+            self._break("AnswerTooLong")
+        elif not self._buffers.try_take_answer(len(body)):
+            self._break("BuffersFull")
+        else:
+            self._body_size += len(body)
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Ends an answer."""
@@ -241,7 +252,7 @@
             self._parser.get_status_code(), self._headers, b"".join(self._body)
         )
         self._headers = []
-        self._body = []
+        self._drop_body()
         repeated = answer.header(self._attempt_header)
         if repeated != self._attempt_id:
             if repeated is None and self._uses == 1:
@@ -267,6 +278,11 @@
             self._spoiled = True
         events.answered(self, answer)
 
+    def _drop_body(self) -> None:
+        self._buffers.release(self._body_size)
+        self._body_size = 0
+        self._body = []
+
     def _read_keep_alive(self, answer: UpstreamAnswer) -> None:
         value = answer.header(b"keep-alive")
         if value is not None:
--- a/medlardoor/mesh/upstream_pool.py
+++ b/medlardoor/mesh/upstream_pool.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from medlardoor.admission import buffers as buffers_module
 from medlardoor.mesh import settings as settings_module
 from medlardoor.mesh import upstream_connection
 
@@ -18,6 +19,7 @@
         settings: Limits.
         address: Address of the upstream.
         attempt_header: Name of the header with the attempt identifier.
+        buffers: Bytes that are held for bodies.
     """
 
     def __init__(
@@ -25,10 +27,12 @@
         settings: settings_module.UpstreamSettings,
         address: settings_module.Address,
         attempt_header: bytes,
+        buffers: buffers_module.BufferBudget,
     ):
         self._settings = settings
         self._address = address
         self._attempt_header = attempt_header
+        self._buffers = buffers
         self._idle: list[upstream_connection.UpstreamConnection] = []
         self._opened = 0
 
@@ -114,5 +118,5 @@
 
     def _make(self) -> upstream_connection.UpstreamConnection:
         return upstream_connection.UpstreamConnection(
-            self._settings, self._attempt_header
+            self._settings, self._attempt_header, self._buffers
         )
--- a/medlardoor/platform/heartbeats.py
+++ b/medlardoor/platform/heartbeats.py
@@ -8,7 +8,7 @@
 
 from medlardoor import logs
 from medlardoor.membership import announcements
-from medlardoor.mesh import observing, server_connection
+from medlardoor.mesh import handlers, observing
 from medlardoor.mesh import settings as mesh_settings
 from medlardoor.platform import names, settings
 
@@ -63,8 +63,8 @@
 
     def handle(
         self,
-        request: server_connection.Request,
-        reply: server_connection.Reply,
+        request: handlers.Request,
+        reply: handlers.Reply,
     ) -> None:
         """Handles a heartbeat or the announcement of an end."""
         target = request.target.partition(b"?")[0]
@@ -76,11 +76,9 @@
             elif target.startswith(names.LEAVE_PATH):
                 upstream_id = target.removeprefix(names.LEAVE_PATH)
                 status = self._leave(upstream_id.decode("latin-1"), request)
-        reply(server_connection.Response(status, _JSON, b"{}"))
+        reply(handlers.Response(status, _JSON, b"{}"))
 
-    def _beat(
-        self, upstream_id: str, request: server_connection.Request
-    ) -> int:
+    def _beat(self, upstream_id: str, request: handlers.Request) -> int:
         try:
             beat = _Beat.model_validate_json(request.body)
             cold_s = settings.durations_s(beat.coldLeft)
@@ -103,9 +101,7 @@
         self._changed(self._announce(announcement, request.received_at))
         return _OK
 
-    def _leave(
-        self, upstream_id: str, request: server_connection.Request
-    ) -> int:
+    def _leave(self, upstream_id: str, request: handlers.Request) -> int:
         born_ms = 0
         if request.body:
             try:
--- a/medlardoor/platform/settings.py
+++ b/medlardoor/platform/settings.py
@@ -23,6 +23,14 @@
 RETRY_RATIO_SHARE = 0.9 / CHAIN_HOPS
 RETRY_SLACK_SHARE = 0.1
 
+# Memory of a node without bodies, with links to many others, in megabytes.
+PROCESS_MB = 80
+
+# Share of the rest that is for bodies: each is copied once on its way, from
+# the pieces to the whole or from the whole to a frame.
+BUFFER_SHARE = 0.5
+LEAST_BUFFER_MB = 8.0
+
 # The link listener takes the port that the platform reserves for traffic
 # between nodes. Metrics use the last one of the internal ports.
 _UNITS_S = {"ms": 0.001, "s": 1.0}
@@ -59,6 +67,10 @@
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
 
+class _Limits(_Model):
+    memoryMb: int = pydantic.Field(default=300, ge=1)  # noqa: N815
+
+
 class _Self(_Model):
     node: str
     # Address that other nodes dial, if it is not that of the listener.
@@ -67,6 +79,7 @@
     zone: str
     service: str
     appAddr: Address  # noqa: N815
+    limits: _Limits = _Limits()
 
 
 class _Listen(_Model):
@@ -177,9 +190,15 @@
             slack=bounds.budgetSlack * RETRY_SLACK_SHARE,
         ),
         placement=placement.PlacementSettings(failure_domain=own.zone),
+        buffer_bytes=_buffer_bytes(own.limits.memoryMb),
     )
 
 
+def _buffer_bytes(memory_mb: int) -> int:
+    free_mb = max(0.0, memory_mb - PROCESS_MB) * BUFFER_SHARE
+    return int(max(free_mb, LEAST_BUFFER_MB) * 1_000_000)
+
+
 def _metrics_address(
     settings: PlatformSettings,
 ) -> mesh_settings.Address | None:
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -8,7 +8,7 @@
 import time
 
 from medlardoor.config import routes
-from medlardoor.mesh import server_connection
+from medlardoor.mesh import handlers, server_connection
 from medlardoor.platform import names
 from medlardoor.soak import evidence
 
@@ -50,7 +50,7 @@
     lose: float = 0.0
 
 
-class SoakUpstream(server_connection.RequestHandler):
+class SoakUpstream(handlers.RequestHandler):
     """One upstream process as its node and its callers see it.
 
     Args:
@@ -148,14 +148,14 @@
 
     def handle(
         self,
-        request: server_connection.Request,
-        reply: server_connection.Reply,
-    ) -> server_connection.RequestHandle | None:
+        request: handlers.Request,
+        reply: handlers.Reply,
+    ) -> handlers.RequestHandle | None:
         """Runs a request."""
         attempt = request.header(names.HEADERS.attempt_id.lower()).decode()
         wanted = request.header(names.HEADERS.expected_upstream.lower())
         if wanted != self.upstream_id.encode():
-            reply(server_connection.Response(421, self._own_lines(attempt)))
+            reply(handlers.Response(421, self._own_lines(attempt)))
             return None
         kind = request.target.split(b"/")[1].decode()
         self._ledger.arrived(self.service, kind, attempt, self.upstream_id)
@@ -166,7 +166,7 @@
             lines = self._own_lines(attempt) + b"%b: 1\r\n" % (
                 names.HEADERS.not_run
             )
-            reply(server_connection.Response(503, lines))
+            reply(handlers.Response(503, lines))
             return None
         deadline = request.header(names.HEADERS.deadline_ms.lower())
         self._ledger.ran(
@@ -197,7 +197,7 @@
         if draw() < fault.cut:
             connection.send_cut(lines, body)
             return
-        running.reply(server_connection.Response(status, lines, body))
+        running.reply(handlers.Response(status, lines, body))
         if draw() < fault.extra:
             connection.send_extra(lines, body)
 
@@ -285,15 +285,15 @@
             )
 
 
-class _Running(server_connection.RequestHandle):
+class _Running(handlers.RequestHandle):
     """A request that an upstream works on."""
 
     def __init__(
         self,
         upstream: SoakUpstream,
         attempt: str,
-        request: server_connection.Request,
-        reply: server_connection.Reply,
+        request: handlers.Request,
+        reply: handlers.Reply,
     ):
         self._upstream = upstream
         self._timer: asyncio.TimerHandle | None = None
