Make fewer calls to the platform's store

Each watch that ended without a change was followed by a second one with no time left; each start read an object of its own that could not be there yet; lists of the nodes, three a node, were fresh ones.

Ruled out: longer watches. Their length bounds how long a silent connection hides a change.

Change: a watch without time left ends; the own object is created first and read only if it exists; lists may be some seconds old, which costs a tenth.

Tests: test_watch_without_change_costs_one_call, test_lists_are_cheap and test_first_start_costs_one_call_for_the_own_object failed before; test_restart_does_not_forget_a_leaving guards the changed order.

--- a/medlardoor/mesh/presence.py
+++ b/medlardoor/mesh/presence.py
@@ -127,11 +127,12 @@
             group.start_soon(self._keep_listing)
 
     async def _keep_own(self) -> None:
-        await self._until_done(self._read_own)
-        self._has_read_own = True
+        # The first write only succeeds if there is no object yet. Otherwise it
+        # is read, with what an earlier process of this node has stored.
         while True:
             changed = self._changed
             await self._until_done(self._write_own)
+            self._has_read_own = True
             await changed.wait()
 
     async def _keep_listing(self) -> None:
--- a/medlardoor/platform/standin_store.py
+++ b/medlardoor/platform/standin_store.py
@@ -78,6 +78,8 @@
         self.fault = StoreFault.NONE
         self.delay_s = 0.0
         self.calls = 0
+        # Calls that may return data that is some seconds old.
+        self.stale_calls = 0
         self._revision = 1
         self._kinds: dict[str, dict[str, _Entry]] = {}
         self._history: list[_Change] = []
@@ -130,6 +132,7 @@
     ) -> handlers.RequestHandle | None:
         """Handles a call, after a delay if one is set."""
         self.calls += 1
+        self.stale_calls += b"allowStale=1" in request.target
         if self.delay_s:
             loop = asyncio.get_running_loop()
             waiting = _Waiting()
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -21,6 +21,13 @@
 _CONFLICT = 409
 _GONE = 410
 
+# An answer that may be some seconds old costs a tenth of another one and does
+# not count towards the rate.
+_ALLOW_STALE = {"allowStale": 1}
+
+# A watch that has less time left than this has waited long enough, in seconds.
+_LEAST_WATCH_S = 0.05
+
 # A call is given up after this time; a store that is slow answers later than
 # that only while it cannot keep up anyway. In seconds.
 CALL_TIMEOUT_S = 1.5
@@ -141,7 +148,7 @@
             self._seen[key] = after
             if found is not None and found.version > after_version:
                 return result.Ok(found)
-            if left_s == 0:
+            if ends_at - anyio.current_time() < _LEAST_WATCH_S:
                 return result.Ok(None)
 
     async def _watch_once(
@@ -200,7 +207,10 @@
         found: list[client.StoredObject] = []
         after = ""
         for _ in range(_MAX_PAGES):
-            query = urllib.parse.urlencode({"after": after}) if after else ""
+            parameters = dict(_ALLOW_STALE)
+            if after:
+                parameters["after"] = after
+            query = urllib.parse.urlencode(parameters)
             answer = await self._caller.call(
                 prefix,
                 "GET",
--- a/medlardoor/platform/tests/test_store.py
+++ b/medlardoor/platform/tests/test_store.py
@@ -3,12 +3,15 @@
 import asyncio
 import contextlib
 import json
+import random
 
 import anyio
 import pytest
 
-from medlardoor.mesh import server_connection, settings
+from medlardoor.mesh import presence, server_connection, settings
+from medlardoor.platform import settings as platform_settings
 from medlardoor.platform import standin_store, store
+from medlardoor.platform.tests import test_settings
 
 pytestmark = pytest.mark.anyio
 
@@ -176,3 +179,70 @@
     assert (await client.update("instances/a", b"1", 0)).is_err()
     standin.fault = Fault.NONE
     assert (await client.read("instances/a")).unwrap().value == b"1"
+
+
+async def test_watch_without_change_costs_one_call(client, standin):
+    """Each watch is followed by a second call that waits for nothing."""
+    version = standin.put("config", "main", {"n": 1})
+    before = standin.calls
+    assert (await client.watch("config/main", version, 0.2)).unwrap() is None
+    assert standin.calls - before == 1
+
+
+async def test_lists_are_cheap(client, standin):
+    """A list of all nodes costs the store as much as a read that is fresh."""
+    standin.put("instances", "a", {})
+    await client.list("instances/")
+    assert (standin.calls, standin.stale_calls) == (1, 1)
+    await client.read("instances/a")
+    assert (standin.calls, standin.stale_calls) == (2, 1)
+
+
+def _presence(client, restored):
+    parsed = platform_settings.parse("node.conf", test_settings.TEXT)
+    return presence.Presence(
+        platform_settings.to_mesh(parsed.unwrap()),
+        client,
+        lambda node, address: None,
+        lambda upstream_id, born_ms: restored.append((upstream_id, born_ms)),
+        lambda: True,
+        lambda: True,
+        random.Random(1),
+    )
+
+
+async def _run_presence(client, restored, until, note=None):
+    own = _presence(client, restored)
+    async with anyio.create_task_group() as group:
+        group.start_soon(own.run)
+        if note is not None:
+            own.note_left(*note)
+        with anyio.fail_after(2.0):
+            while not until():  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+
+
+async def test_first_start_costs_one_call_for_the_own_object(client, standin):
+    """A node asks for an object that cannot be there yet."""
+
+    def is_done():
+        return standin.calls - standin.stale_calls and standin.stale_calls
+
+    await _run_presence(client, [], is_done)
+    assert standin.calls - standin.stale_calls == 1
+
+
+async def test_restart_does_not_forget_a_leaving(client, standin):
+    """The first write of a restarted node replaces what was stored before."""
+
+    def spec():
+        return standin.spec("instances", "sidecar-hobart-a-1") or {}
+
+    await _run_presence(
+        client, [], lambda: spec().get("left_id") == "i-1", ("i-1", 5)
+    )
+    restored = []
+    await _run_presence(client, restored, lambda: restored)
+    assert restored == [("i-1", 5)]
+    assert spec()["left_id"] == "i-1"
--- a/medlardoor/store/client.py
+++ b/medlardoor/store/client.py
@@ -74,7 +74,11 @@
     async def list(
         self, prefix: str
     ) -> result.Result[tuple[StoredObject, ...], errors.StoreUnavailable]:
-        """Reads all objects whose key starts with the prefix."""
+        """Reads all objects whose key starts with the prefix.
+
+        The answer may be some seconds old: a list that is allowed to be costs
+        the platform less.
+        """
 
 
 def too_large(key: str, size: int) -> errors.StoreUnavailable:
