Keep a node running after an unexpected error; fuzz the borders

Cause: an error that left one of a node's four lasting tasks ended the task group and with it the process and all requests that it carried (shown by a defect in one tick, and by an error of the store client that is no transport error). An object of another writer whose host is no IP address raised in each attempt to dial it.

Ruled out: catching errors in each step. The steps are many, and one that is forgotten ends the process again.

Change: mesh/supervision logs the error and starts the task again after 0.5 s; hosts of stored objects are checked. Generated input for the connections of callers and upstreams, frames, answers of the store, documents, settings and heartbeats: a fixed short run is part of the tests, 'make fuzz' a long one with new input.

Tests: test_supervision failed before.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: setup test lint format demo scenarios soak bench thrift
+.PHONY: setup test lint format demo scenarios soak bench fuzz thrift
 
 setup: $(VENV)/.installed
 
@@ -31,6 +31,11 @@
 soak: setup
 	$(PYTHON) -m medlardoor.cli.soak --runs 2 --minutes 0.6
 
+# Generated input for each border, new with each run.
+fuzz: setup
+	MEDLARDOOR_FUZZ_EXAMPLES=$(or $(EXAMPLES),20000) $(PYTHON) -m pytest \
+	  medlardoor/mesh/tests/test_fuzz.py medlardoor/platform/tests/test_fuzz.py
+
 bench: setup
 	$(PYTHON) -m medlardoor.bench.run
 
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -22,6 +22,7 @@
     presence,
     recording,
     server_connection,
+    supervision,
 )
 from medlardoor.mesh import settings as settings_module
 from medlardoor.quarantine import controller as quarantine_module
@@ -179,10 +180,13 @@
         )
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._fleet.run)
-                group.start_soon(self._watch.run)
-                group.start_soon(self._presence.run)
-                group.start_soon(self._sweep)
+                for task in (
+                    self._fleet.run,
+                    self._watch.run,
+                    self._presence.run,
+                    self._sweep,
+                ):
+                    group.start_soon(supervision.keep_running, task)
                 await stop.wait()
                 await self._stop()
                 group.cancel_scope.cancel()
--- a/medlardoor/mesh/presence.py
+++ b/medlardoor/mesh/presence.py
@@ -1,6 +1,7 @@
 """First contact between nodes, and what must last, in the platform's store."""
 
 import collections.abc
+import ipaddress
 import random
 
 import anyio
@@ -10,6 +11,7 @@
 from medlardoor import logs
 from medlardoor.membership import neighbours
 from medlardoor.mesh import settings as settings_module
+from medlardoor.mesh import supervision
 from medlardoor.store import client
 
 __all__ = ["InstanceObject", "Presence"]
@@ -49,6 +51,12 @@
     left_id: str = ""
     left_born_ms: int = 0
 
+    @pydantic.field_validator("host")
+    @classmethod
+    def _is_address(cls, value: str) -> str:
+        ipaddress.ip_address(value)
+        return value
+
 
 class Presence:
     """Writes the own object and reads those of other nodes.
@@ -123,8 +131,8 @@
     async def run(self) -> None:
         """Keeps the own object written and reads the others, for ever."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._keep_own)
-            group.start_soon(self._keep_listing)
+            for task in (self._keep_own, self._keep_listing):
+                group.start_soon(supervision.keep_running, task)
 
     async def _keep_own(self) -> None:
         # The first write only succeeds if there is no object yet. Otherwise it
--- /dev/null
+++ b/medlardoor/mesh/tests/test_supervision.py
@@ -0,0 +1,66 @@
+"""Tests that unexpected errors do not end a node."""
+
+import json
+
+import anyio
+import logbook
+import pytest
+
+from medlardoor.mesh import presence, supervision
+from medlardoor.mesh.tests import group as group_module
+from medlardoor.store import client
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_node_goes_on_after_an_unexpected_error(group, monkeypatch):
+    """A defect in one task ends the process with all that it carries."""
+    monkeypatch.setattr(supervision, "RESTART_PAUSE_S", 0.01)
+    member = group.members["s1"]
+    failed = []
+
+    def fail(now):
+        failed.append(now)
+        raise RuntimeError("defect")
+
+    local = member.node._local
+    tick = local._room.tick
+    local._room.tick = fail
+    with logbook.TestHandler().applicationbound() as log:
+        await group_module.wait_until(lambda: len(failed) > 2)
+        local._room.tick = tick
+        assert (await member.call("/read/1")).status == 200
+    assert not member.done.is_set()
+    assert any(record.message == "task_failed" for record in log.records)
+
+
+async def test_error_of_the_store_client_does_not_end_the_node(group):
+    """An answer that the store client cannot handle ends the process."""
+    member = group.members["s1"]
+
+    async def fail(*args, **kwargs):
+        raise RecursionError("deeply nested answer")
+
+    member.store.watch = fail
+    member.store.list = fail
+    group.publish(*group_module.DOCUMENT, "/new/ stock safe 2")
+    await group_module.wait_until(
+        lambda: member.node._holder.table.find(b"x", b"/new/1") is not None
+    )
+    assert (await member.call("/new/1")).status == 200
+    assert not member.done.is_set()
+
+
+async def test_cancellation_ends_a_task():
+    """A node that stops waits for its tasks for ever."""
+    with anyio.move_on_after(0.05) as scope:
+        await supervision.keep_running(lambda: anyio.sleep(60))
+    assert scope.cancelled_caught
+
+
+@pytest.mark.parametrize("host", ["", "node-7", "10.1.0", "10.1.0.1\x00"])
+async def test_object_with_a_host_that_is_no_address_is_skipped(host):
+    """A host that cannot be dialled raises in each attempt to dial it."""
+    value = {"host": host, "port": 1, "service": "s", "failure_domain": "d"}
+    stored = client.StoredObject("instances/x", json.dumps(value).encode(), 1)
+    assert presence._parse(stored) is None
