Choose neighbours only after a change; check only linked and chosen nodes

Cause: ten times a second a node looked at every other node that it knows, and each second it chose its neighbours anew from all of them.

Change: a choice follows a node that is new, forgotten, reached again or not reached any more, and changes of 0.1 s are gathered.

Test: test_known_nodes_cost_nothing_while_nothing_changes failed before.

--- a/medlardoor/mesh/peers.py
+++ b/medlardoor/mesh/peers.py
@@ -119,10 +119,14 @@
             self.interval_s = status.interval_ms / 1_000
         statuses.update_candidate(self.candidate, status, self._loop.time())
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether recent attempts to reach the node succeeded."""
+        return self.redial_pause_s < UNREACHABLE_PAUSE_S
+
     def describe(self) -> neighbours.KnownNode:
         """The node, as the choice of neighbours sees it."""
-        is_reachable = self.redial_pause_s < UNREACHABLE_PAUSE_S
-        return dataclasses.replace(self.node, is_reachable=is_reachable)
+        return dataclasses.replace(self.node, is_reachable=self.is_reachable)
 
     def to_address(self) -> ttypes.NodeAddress:
         """The node's address, as it is told to others."""
--- a/medlardoor/mesh/roster.py
+++ b/medlardoor/mesh/roster.py
@@ -17,9 +17,9 @@
 
 _LOG = logbook.Logger("roster")
 
-# Pause between two choices of neighbours while nothing new is known, in
-# seconds; nodes that became unreachable are replaced after it.
-CHOICE_INTERVAL_S = 1.0
+# Least pause between two choices of neighbours, in seconds. A choice looks at
+# all known nodes, so it is made only after a change, and changes are gathered.
+CHOICE_INTERVAL_S = 0.1
 
 
 class Roster:
@@ -49,6 +49,7 @@
         self._by_link: dict[links_module.Link, peers_module.Peer] = {}
         self._chosen: set[str] = set()
         self._choose_at = 0.0
+        self._is_choice_due = True
         self._new: list[peers_module.Peer] = []
         self._tasks: set[asyncio.Task] = set()
 
@@ -79,7 +80,7 @@
             peer.reached_at = self._loop.time()
             self._peers[node.instance] = peer
             self._new.append(peer)
-            self._choose_at = 0.0
+            self._is_choice_due = True
             logs.log_event(
                 _LOG,
                 logbook.INFO,
@@ -101,6 +102,7 @@
             return
         if peer.link is None:
             peer.redial_at = 0.0
+            self._is_choice_due |= not peer.is_reachable
             peer.redial_pause_s = 0.0
             return
         known = peer.status
@@ -122,6 +124,7 @@
         peer = self._by_link[link]
         peer.link = link
         peer.probed_at = None
+        self._is_choice_due |= not peer.is_reachable
         peer.redial_pause_s = 0.0
 
     def lost(self, link: links_module.Link) -> peers_module.Peer | None:
@@ -148,30 +151,43 @@
         Args:
             now: Current time, in seconds.
         """
-        if now >= self._choose_at:
+        if self._is_choice_due and now >= self._choose_at:
+            self._is_choice_due = False
             self._choose_at = now + CHOICE_INTERVAL_S
-            self._chosen = neighbours.choose_neighbours(
-                self._own,
-                [peer.describe() for peer in self._peers.values()],
-                self._settings.neighbours,
-            )
-        forgotten = []
-        for peer in self._peers.values():
-            is_chosen = peer.instance in self._chosen
-            if peer.link is not None:
-                peer.reached_at = now
-                self._check_link(peer, is_chosen, now)
-            elif not is_chosen:
-                peer.reached_at = now
-            elif not peer.is_dialling and now >= peer.redial_at:
-                if now - peer.reached_at > self._links.forget_s:
-                    forgotten.append(peer.instance)
-                else:
-                    self._dial(peer)
-        for instance in forgotten:
-            del self._peers[instance]
+            self._choose(now)
+        # Nodes that are neither chosen nor linked need no attention, and they
+        # are most of a large fleet.
+        linked = {peer.instance for peer in self._by_link.values()}
+        for instance in linked | self._chosen:
+            peer = self._peers.get(instance)
+            if peer is not None:
+                self._check_peer(peer, now)
+
+    def _choose(self, now: float) -> None:
+        """Chooses the nodes to keep links to."""
+        chosen = neighbours.choose_neighbours(
+            self._own,
+            [peer.describe() for peer in self._peers.values()],
+            self._settings.neighbours,
+        )
+        for instance in chosen - self._chosen:
+            self._peers[instance].reached_at = now
+        self._chosen = chosen
+
+    def _check_peer(self, peer: peers_module.Peer, now: float) -> None:
+        is_chosen = peer.instance in self._chosen
+        if peer.link is not None:
+            peer.reached_at = now
+            self._check_link(peer, is_chosen, now)
+        elif is_chosen and not peer.is_dialling and now >= peer.redial_at:
+            if now - peer.reached_at <= self._links.forget_s:
+                self._dial(peer)
+                return
+            del self._peers[peer.instance]
+            self._chosen.discard(peer.instance)
+            self._is_choice_due = True
             logs.log_event(
-                _LOG, logbook.INFO, "node_forgotten", instance=instance
+                _LOG, logbook.INFO, "node_forgotten", instance=peer.instance
             )
 
     def close(self) -> None:
@@ -207,11 +223,13 @@
                 )
         except (OSError, TimeoutError):
             self._by_link.pop(link, None)
+            was_reachable = peer.is_reachable
             pause = max(self._links.first_redial_s, peer.redial_pause_s * 2)
             peer.redial_pause_s = min(pause, self._links.max_redial_s)
             peer.redial_at = (
                 self._loop.time()
                 + peer.redial_pause_s * self._generator.uniform(0.7, 1.3)
             )
+            self._is_choice_due |= was_reachable and not peer.is_reachable
         finally:
             peer.is_dialling = False
--- /dev/null
+++ b/medlardoor/mesh/tests/test_roster.py
@@ -0,0 +1,84 @@
+"""Tests of the nodes that a node knows, at the size of a large fleet."""
+
+import asyncio
+import random
+
+import pytest
+
+from medlardoor.membership import neighbours
+from medlardoor.mesh import roster, settings
+from medlardoor.mesh.tests import group as group_module
+
+pytestmark = pytest.mark.anyio
+
+NODES = 3_000
+SERVICES = 100
+
+
+class _Events:
+    """Nothing happens on links that are never opened."""
+
+
+@pytest.fixture
+async def large(monkeypatch):
+    """A node that knows many others; dials are counted and never end."""
+    group = group_module.Group()
+    member = group_module.Member(group, "own", "s0", "127.0.0.1")
+    known = roster.Roster(member.settings, _Events(), random.Random(1))
+    dialled = []
+
+    def dial(peer):
+        peer.is_dialling = True
+        dialled.append(peer.instance)
+
+    monkeypatch.setattr(known, "_dial", dial)
+    for number in range(NODES):
+        node = neighbours.KnownNode(
+            f"n{number}", f"s{number % SERVICES}", f"d{number % 6}"
+        )
+        known.learn(node, settings.Address("127.0.0.1", 1_000))
+    return known, dialled
+
+
+async def test_known_nodes_cost_nothing_while_nothing_changes(
+    large, monkeypatch
+):
+    """The work of a node for control grows with the fleet."""
+    known, dialled = large
+    now = asyncio.get_running_loop().time()
+    known.check(now)
+    assert 0 < len(dialled) <= SERVICES * 12
+    described = []
+    for peer in known.peers.values():
+        monkeypatch.setattr(
+            peer, "describe", lambda p=peer: described.append(p) or p.node
+        )
+    for tick in range(1, 50):
+        known.check(now + 0.1 * tick)
+    assert described == []
+
+
+async def test_unreachable_neighbour_is_replaced(large):
+    """A node without an answer leaves its neighbours with a link less."""
+    known, dialled = large
+    now = asyncio.get_running_loop().time()
+    known.check(now)
+    lost = known.peers[dialled[0]]
+    before = len(dialled)
+    lost.redial_pause_s = 1.0
+    known._is_choice_due = True
+    known.check(now + 1.0)
+    assert len(dialled) == before + 1
+
+
+async def test_gone_neighbour_is_forgotten(large):
+    """A node dials an instance that has gone for ever."""
+    known, dialled = large
+    now = asyncio.get_running_loop().time()
+    known.check(now)
+    gone = dialled[0]
+    known.peers[gone].is_dialling = False
+    known.check(now + 31.0)
+    assert gone not in known.peers
+    known.check(now + 32.0)
+    assert len(dialled) > 0
