--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -111,7 +111,7 @@
     def give_up(self) -> None:
         """Ends a run whose answer is overdue."""
         self._connection.abort()
-        self.broken(self._connection, "Overdue")
+        self.broken(self._connection, connection_module.Break.OVERDUE)
 
     def connect_failed(self, detail: str, refused: bool) -> None:
         """Reports that there was no connection to send the request on."""
@@ -132,10 +132,13 @@
         self._owner.ended(self, good=True, broken=False)
 
     def broken(
-        self, connection: connection_module.UpstreamConnection, detail: str
+        self,
+        connection: connection_module.UpstreamConnection,
+        reason: connection_module.Break,
     ) -> None:
         """Reports that the connection ended without an answer."""
         self._connection = None
+        self._owner.note_broken(self, reason)
         result = runs.RunResult(
             errors.Outcome.UNKNOWN, errors.Reason.UPSTREAM_FAILED, offered=True
         )
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -1,6 +1,7 @@
 """Runs requests on the local upstream."""
 
 import asyncio
+import collections
 import collections.abc
 
 import logbook
@@ -77,7 +78,9 @@
         self._down_until = 0.0
         self._is_down = False
         self._heard_at = self._loop.time()
-        self._foreign = 0
+        self._breaks: collections.Counter[connection_module.Break] = (
+            collections.Counter()
+        )
 
     @property
     def room(self) -> waiting.WaitingRoom:
@@ -89,6 +92,11 @@
         """Connections that were opened to the upstream."""
         return self._pool.opened
 
+    @property
+    def breaks(self) -> collections.Counter[connection_module.Break]:
+        """Exchanges without an answer, by how they ended."""
+        return self._breaks
+
     @property
     def is_usable(self) -> bool:
         """Whether other nodes should send requests."""
@@ -170,13 +178,6 @@
         latest = now - self._settings.connections.overdue_s
         overdue = [h for h in self._sent.values() if h.run.deadline < latest]
         for handle in overdue:
-            logs.log_request(
-                _LOG,
-                logbook.WARNING,
-                "run_overdue",
-                request_id=handle.run.attempt_id.decode("latin-1"),
-                late_ms=int((now - handle.run.deadline) * 1_000),
-            )
             handle.give_up()
 
     def _reason_to_refuse(
@@ -280,6 +281,25 @@
         self.release(handle)
         self.pump()
 
+    def note_broken(
+        self, handle: local_run.LocalRun, reason: connection_module.Break
+    ) -> None:
+        """Counts and logs that a request got no answer of the upstream.
+
+        Args:
+            handle: The run.
+            reason: How its exchange ended.
+        """
+        self._breaks[reason] += 1
+        logs.log_request(
+            _LOG,
+            logbook.WARNING,
+            "run_broken",
+            request_id=handle.run.attempt_id.decode("latin-1"),
+            reason=reason.value,
+            left_ms=int((handle.run.deadline - self._loop.time()) * 1_000),
+        )
+
     def connect_failed(self, detail: str, refused: bool) -> None:
         """Notes that the upstream does not accept connections."""
         now = self._loop.time()
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -363,5 +363,8 @@
             "upstream_connections_total": self._local.connections_opened,
         }
         lines = [f"medlardoor_{name} {value}" for name, value in gauges.items()]
+        for reason, count in self._local.breaks.items():
+            label = f'{{reason="{reason.value}"}}'
+            lines.append(f"medlardoor_upstream_breaks_total{label} {count}")
         lines += self._recorder.render()
         return READY_STATUS, "\n".join(lines) + "\n"
--- a/medlardoor/mesh/tests/test_calls.py
+++ b/medlardoor/mesh/tests/test_calls.py
@@ -114,6 +114,8 @@
     room = order.node._local.room
     assert room.running == 1
     await group_module.wait_until(lambda: room.running == 0, timeout_s=3.0)
+    status, metrics = order.node._render_metrics()
+    assert 'upstream_breaks_total{reason="overdue"} 1' in metrics
     await group_module.wait_until(lambda: order.upstream.cancelled)
 
 
--- a/medlardoor/mesh/tests/test_upstream_connection.py
+++ b/medlardoor/mesh/tests/test_upstream_connection.py
@@ -7,6 +7,8 @@
 from medlardoor.admission import buffers
 from medlardoor.mesh import settings, upstream_connection
 
+Break = upstream_connection.Break
+
 
 class _Transport:
     def __init__(self):
@@ -32,8 +34,8 @@
     def answered(self, connection, answer):
         self.answers.append(answer)
 
-    def broken(self, connection, detail):
-        self.breaks.append(detail)
+    def broken(self, connection, reason):
+        self.breaks.append(reason)
 
 
 class _Exchange:
@@ -100,7 +102,7 @@
         exchange.receive(_answer()[:-1])
         exchange.connection.connection_lost(None)
         assert exchange.events.answers == []
-        assert exchange.events.breaks == ["closed"]
+        assert exchange.events.breaks == [Break.CLOSED]
 
     run(check)
 
@@ -125,7 +127,7 @@
         exchange.receive(b"HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\n\r\nabc")
         exchange.connection.connection_lost(ConnectionResetError())
         assert exchange.events.answers == []
-        assert exchange.events.breaks == ["ConnectionResetError"]
+        assert exchange.events.breaks == [Break.RESET]
 
     run(check)
 
@@ -151,7 +153,7 @@
         exchange.send(b"id-2")
         exchange.receive(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
         assert len(exchange.events.answers) == 1
-        assert exchange.events.breaks == ["AnswerWithoutIdentifier"]
+        assert exchange.events.breaks == [Break.NO_IDENTIFIER]
 
     run(check)
 
@@ -300,7 +302,7 @@
         exchange.receive(b"b" * 60_000)
         assert exchange.events.breaks == []
         exchange.receive(b"b" * 60_000)
-        assert exchange.events.breaks == ["BuffersFull"]
+        assert exchange.events.breaks == [Break.BUFFERS_FULL]
         assert exchange.buffers.used_bytes == 900_000
 
     run(check)
--- a/medlardoor/mesh/upstream_connection.py
+++ b/medlardoor/mesh/upstream_connection.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import dataclasses
+import enum
 
 import httptools
 
@@ -10,11 +11,30 @@
 from medlardoor.mesh import http_messages
 from medlardoor.mesh import settings as settings_module
 
-__all__ = ["ConnectionEvents", "UpstreamAnswer", "UpstreamConnection"]
+__all__ = [
+    "Break",
+    "ConnectionEvents",
+    "UpstreamAnswer",
+    "UpstreamConnection",
+]
 
 _FIRST_FINAL_STATUS = 200
 
 
+class Break(enum.Enum):
+    """Why an exchange ended without an answer."""
+
+    CLOSED = "closed"
+    RESET = "reset"
+    MALFORMED = "malformed"
+    HEAD_TOO_LONG = "head_too_long"
+    TOO_MANY_INTERIM_ANSWERS = "too_many_interim_answers"
+    ANSWER_TOO_LONG = "answer_too_long"
+    BUFFERS_FULL = "buffers_full"
+    NO_IDENTIFIER = "no_identifier"
+    OVERDUE = "overdue"
+
+
 @dataclasses.dataclass(slots=True)
 class UpstreamAnswer:
     """A complete answer of the upstream.
@@ -51,7 +71,7 @@
         """The answer is complete."""
 
     @abc.abstractmethod
-    def broken(self, connection: "UpstreamConnection", detail: str) -> None:
+    def broken(self, connection: "UpstreamConnection", reason: Break) -> None:
         """The connection ended, or sent what is no answer."""
 
 
@@ -163,9 +183,9 @@
             self._head_size += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except httptools.HttpParserError:
             if self._answer is None:
-                self._break(type(error).__name__)
+                self._break(Break.MALFORMED)
                 return
             self._spoiled = True
         if self._answer is not None:
@@ -173,7 +193,7 @@
             # surplus bytes may follow the answer.
             self._report()
         elif self._in_head and self._head_size > self._settings.max_head_bytes:
-            self._break("HeadTooLong")
+            self._break(Break.HEAD_TOO_LONG)
 
     def eof_received(self) -> bool:
         """Ends an answer that has no length of its own."""
@@ -188,7 +208,7 @@
         """Ends the exchange in progress."""
         self._transport = None
         self._spoiled = True
-        self._break("closed" if exc is None else type(exc).__name__)
+        self._break(Break.CLOSED if exc is None else Break.RESET)
 
     def on_message_begin(self) -> None:
         """Starts an answer."""
@@ -211,7 +231,7 @@
         if status < _FIRST_FINAL_STATUS:
             self._interim_answers += 1
             if self._interim_answers > self._settings.max_interim_answers:
-                self._break("TooManyInterimAnswers")
+                self._break(Break.TOO_MANY_INTERIM_ANSWERS)
             return
         self._in_head = False
         self._head_size = 0
@@ -231,9 +251,9 @@
         if self._events is None:
             return
         if self._body_size + len(body) > self._settings.max_answer_bytes:
-            self._break("AnswerTooLong")
+            self._break(Break.ANSWER_TOO_LONG)
         elif not self._buffers.try_take_answer(len(body)):
-            self._break("BuffersFull")
+            self._break(Break.BUFFERS_FULL)
         else:
             self._body_size += len(body)
             self._body.append(body)
@@ -259,7 +279,7 @@
                 # The first answer on a connection can only be the right one.
                 pass
             elif repeated is None or self._spoiled:
-                self._break("AnswerWithoutIdentifier")
+                self._break(Break.NO_IDENTIFIER)
                 return
             else:
                 self._spoiled = True
@@ -290,8 +310,8 @@
             if timeout_s is not None:
                 self._keep_alive_s = timeout_s
 
-    def _break(self, detail: str) -> None:
+    def _break(self, reason: Break) -> None:
         events = self._events
         self.abort()
         if events is not None:
-            events.broken(self, detail)
+            events.broken(self, reason)
