Part the sends of a request from its life

Where a request is sent and whether it is sent once more is now mesh/sends, with what the calls of a node share.

--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -1,18 +1,14 @@
 """One request of a caller, from its first upstream to its answer."""
 
 import asyncio
-import collections.abc
 import dataclasses
 
 from medlardoor import errors
 from medlardoor.config import routes as routes_module
-from medlardoor.mesh import fleet as fleet_module
-from medlardoor.mesh import handlers, local_run, recording, refusals, runs
-from medlardoor.retries import shares
-from medlardoor.routing import path as path_module
+from medlardoor.mesh import handlers, local_run, refusals, runs, sends
 from medlardoor.routing import placement as placement_module
 
-__all__ = ["Call", "Services"]
+__all__ = ["Call"]
 
 # The upstream has the same time limit and answers by itself; the node ends a
 # request so much later, in seconds.
@@ -22,12 +18,6 @@
 MAX_REDIRECTS = 4
 MAX_OVERLOAD_REDIRECTS = 1
 
-# Chains above this share of all levels enter in any case: their repeats show
-# when others may follow.
-MAX_LOST_URGENCY = 0.95
-
-SERVER_ERROR = 500
-
 _MOVABLE = frozenset(
     {
         errors.Reason.LEAVING,
@@ -40,35 +30,6 @@
 _OVERLOADED = frozenset({errors.Reason.OVERLOAD, errors.Reason.QUEUE_TIMEOUT})
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Services:
-    """What the calls of a node share.
-
-    Attributes:
-        fleet: Upstreams and the way to them.
-        placement: Choice of upstreams.
-        share: Returns the bound on repeated sends to a service.
-        retry_after: Draws a time to come back from the time left and the
-            time until the response-time objective passes, in seconds.
-        recorder: Counts and logs what happens.
-        paths: Admission levels below the routes.
-        top_level: Returns the level above those of all requests.
-        makes_calls: Whether the runs of a route make calls, by its name; not
-            known before the first answer.
-        in_progress: Calls without an answer.
-    """
-
-    fleet: fleet_module.Fleet
-    placement: placement_module.Placement
-    share: collections.abc.Callable[[str], shares.RetryShare]
-    retry_after: collections.abc.Callable[[float, float], float]
-    recorder: recording.Recorder
-    paths: path_module.PathController
-    top_level: collections.abc.Callable[[], int]
-    makes_calls: dict[str, bool] = dataclasses.field(default_factory=dict)
-    in_progress: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class Attempt:
     """One send of a call.
@@ -100,15 +61,12 @@
         "_handle",
         "_loop",
         "_may_have_run",
-        "_offered_to",
-        "_offers",
         "_overload_redirects",
         "_parent",
         "_redirects",
         "_reply",
-        "_runs",
+        "_sends",
         "_timer",
-        "_tried",
         "is_done",
         "path_level",
         "request",
@@ -119,7 +77,7 @@
 
     def __init__(
         self,
-        services: Services,
+        services: sends.Services,
         request: handlers.Request,
         route: routes_module.Route,
         run: runs.Run,
@@ -133,11 +91,7 @@
         self._attempt: Attempt | None = None
         self._handle: runs.RunHandle | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._tried: set[str] = set()
-        self._offers = 0
-        self._offered_to: set[str] = set()
-        # Sends that may have run.
-        self._runs = 0
+        self._sends = sends.Sends(services, route, run)
         self._redirects = 0
         self._overload_redirects = 0
         self._may_have_run = False
@@ -158,7 +112,7 @@
     @property
     def offers(self) -> int:
         """Upstreams that the request was sent to."""
-        return self._offers
+        return self._sends.offers
 
     def begin(self, path_level: int) -> None:
         """Sends the request to the first upstream.
@@ -197,7 +151,7 @@
         self._abandon()
 
     def _send(self, now: float) -> None:
-        candidates = self._untried()
+        candidates = self._sends.candidates()
         candidate = self._services.placement.choose(
             candidates, self.run.level, now
         )
@@ -230,13 +184,11 @@
         if self.is_done or self._attempt is not attempt:
             return
         self._handle = None
-        self._tried.add(candidate.instance)
+        self._sends.note(candidate, result)
         self._meet_level(
-            max(result.level, result.path_level, self._lost_level(now))
+            max(result.level, result.path_level, self._sends.lost_level(now))
         )
         if result.offered:
-            self._offers += 1
-            self._offered_to.add(candidate.instance)
             self._services.paths.observe(
                 self.run.service, self.route.name, result.path_level, now
             )
@@ -246,9 +198,8 @@
             self._on_not_run(attempt, result, now)
         else:
             self._may_have_run = True
-            self._runs += 1
             self._learn(attempt, False, now)
-            if self._may_repeat(now):
+            if self._sends.may_repeat(now):
                 self._repeat(result.reason, now)
             else:
                 self._give_up(result.outcome, result.reason)
@@ -256,11 +207,7 @@
     def _on_answer(
         self, attempt: Attempt, result: runs.RunResult, now: float
     ) -> None:
-        self._runs += 1
-        good = result.status < SERVER_ERROR
-        known = self._services.makes_calls
-        if result.made_calls or (good and self.route.name not in known):
-            known[self.route.name] = result.made_calls
+        good = result.status < refusals.SERVER_ERROR
         if good or not result.path_level:
             # Otherwise the failure lies below the upstream.
             self._learn(attempt, good, now)
@@ -273,7 +220,7 @@
                 result.status != refusals.TIMEOUT_STATUS
                 and not result.path_level
             )
-            if fails_here and self._may_repeat(now):
+            if fails_here and self._sends.may_repeat(now):
                 self.spare_answer = result
                 self._repeat(errors.Reason.UPSTREAM_FAILED, now)
                 return
@@ -285,7 +232,7 @@
         reason = result.reason
         if reason is errors.Reason.UPSTREAM_SHED:
             self._learn(attempt, False, now)
-            if self._may_resend(now) and self._take_share(now):
+            if self._sends.may_resend(now):
                 self._repeat(reason, now)
                 return
         elif reason in _OVERLOADED:
@@ -312,59 +259,9 @@
             attempt.candidate, now - attempt.sent_at, good, now
         )
 
-    def _untried(self) -> list[placement_module.Candidate]:
-        candidates = self._services.fleet.candidates(self.run.service)
-        if not self._tried:
-            return candidates
-        if len(self._offered_to) >= self.route.max_attempts:
-            # No further upstream may be asked; one that shed the request may
-            # still run it.
-            return [c for c in candidates if c.instance in self._offered_to]
-        return [c for c in candidates if c.instance not in self._tried]
-
-    def _may_repeat(self, now: float) -> bool:
-        """Whether a request that may have run is sent once more."""
-        return (
-            self.route.idempotent
-            and self._may_resend(now)
-            and len(self._offered_to) < self.route.max_attempts
-            and self._services.placement.has_sound(self._untried(), now)
-            and self._take_share(now)
-        )
-
-    def _may_resend(self, now: float) -> bool:
-        return self._runs < self.route.max_attempts and now < self.run.deadline
-
-    def _take_share(self, now: float) -> bool:
-        services = self._services
-        makes_calls = services.makes_calls.get(self.route.name, True)
-        taken = services.share(self.run.service).try_repeat(
-            services.fleet.size,
-            now,
-            self.run.level / services.top_level(),
-            self.run.level,
-            makes_calls,
-        )
-        if taken and makes_calls:
-            self.run.repeated = True
-        return taken
-
-    def _lost_level(self, now: float) -> int:
-        """Level below which chains are lost for want of repeats."""
-        services = self._services
-        share = services.share(self.run.service)
-        if not share.is_lossy:
-            return 0
-        urgency = share.least_urgency(services.fleet.size, now)
-        return int(min(urgency, MAX_LOST_URGENCY) * services.top_level())
-
     def _repeat(self, reason: errors.Reason, now: float) -> None:
         self._services.recorder.repeated(self, self._attempt, reason)
-        # With few instances the same one may be the only one left.
-        if self._offers:
-            usable = self._services.fleet.candidates(self.run.service)
-            if all(c.instance in self._tried for c in usable):
-                self._tried.clear()
+        self._sends.begin_repeat()
         self._send(now)
 
     def _time_out(self) -> None:
--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -15,6 +15,7 @@
     recording,
     refusals,
     runs,
+    sends,
 )
 from medlardoor.mesh import fleet as fleet_module
 from medlardoor.mesh import settings as settings_module
@@ -68,7 +69,7 @@
         self._closes = False
         self._refuses_after: float | None = None
         self._recorder = recorder
-        self._services = calls.Services(
+        self._services = sends.Services(
             fleet=fleet,
             placement=placement_module.Placement(settings.placement, generator),
             share=self._share,
