Import only the settings that the platform's process needs; move the store's stand-in

Cause: a node on the users' platform imported the settings models of all parts for one of them (0.2 s of 0.6 s of processor time at a start), and the certificates and archive readers that httpcore wants for HTTPS.

Change: the settings of the quarantine stand in their own package; certifi is not imported. The stand-in of the store lies with the other stand-ins, so that platform/ only translates. The soak's upstreams know their connection instead of taking it from the reply, which broke with mesh/pipeline.

--- a/medlardoor/config/settings.py
+++ b/medlardoor/config/settings.py
@@ -2,6 +2,9 @@
 
 import pydantic
 
+from medlardoor.config import base
+from medlardoor.quarantine import settings as quarantine_settings
+
 __all__ = [
     "AddressSettings",
     "AdminSettings",
@@ -12,30 +15,19 @@
     "NodeSettings",
     "OperatorSettings",
     "PromotionSettings",
-    "QuarantineSettings",
-    "Settings",
     "StoreSettings",
     "UpstreamSettings",
 ]
 
 
-class Settings(pydantic.BaseModel):
-    """Base of all settings models: unknown keys are errors."""
-
-    # Models are built at their first use: a program uses few of them.
-    model_config = pydantic.ConfigDict(
-        extra="forbid", frozen=True, defer_build=True
-    )
-
-
-class AddressSettings(Settings):
+class AddressSettings(base.Settings):
     """An IP address and a port; port 0 lets the kernel choose."""
 
     host: str = "127.0.0.1"
     port: int = pydantic.Field(default=0, ge=0, le=65_535)
 
 
-class ListenerSettings(Settings):
+class ListenerSettings(base.Settings):
     """Limits of each HTTP listener.
 
     Further connections are closed at once. `idle_timeout_s` ends a request
@@ -48,7 +40,7 @@
     idle_timeout_s: float = pydantic.Field(default=30.0, gt=0)
 
 
-class UpstreamSettings(Settings):
+class UpstreamSettings(base.Settings):
     """The upstream that the node stands beside."""
 
     host: str = "127.0.0.1"
@@ -61,7 +53,7 @@
     connect_timeout_s: float = pydantic.Field(default=1.0, gt=0)
 
 
-class StoreSettings(Settings):
+class StoreSettings(base.Settings):
     """The object API of the platform."""
 
     url: str = "http://127.0.0.1:7400"
@@ -69,7 +61,7 @@
     watch_s: float = pydantic.Field(default=30.0, gt=0)
 
 
-class GossipSettings(Settings):
+class GossipSettings(base.Settings):
     """Membership and failure detection."""
 
     interval_s: float = pydantic.Field(default=1.0, gt=0)
@@ -82,7 +74,7 @@
     directory_interval_s: float = pydantic.Field(default=2.0, gt=0)
 
 
-class AdmissionSettings(Settings):
+class AdmissionSettings(base.Settings):
     """Admission level, queue and concurrency limit."""
 
     interval_s: float = pydantic.Field(default=0.1, gt=0)
@@ -94,7 +86,7 @@
     cold_share: float = pydantic.Field(default=0.1, gt=0, le=1)
 
 
-class LedgerSettings(Settings):
+class LedgerSettings(base.Settings):
     """Records of idempotency keys."""
 
     keep_s: float = pydantic.Field(default=600.0, gt=0)
@@ -103,16 +95,7 @@
     max_bytes: int = pydantic.Field(default=16_000_000, ge=0)
 
 
-class QuarantineSettings(Settings):
-    """Crash attribution."""
-
-    max_crashes: int = pydantic.Field(default=3, ge=1)
-    suspicion_s: float = pydantic.Field(default=600.0, gt=0)
-    quarantine_s: float = pydantic.Field(default=3_600.0, gt=0)
-    max_suspects: int = pydantic.Field(default=1_000, ge=1)
-
-
-class AdminSettings(Settings):
+class AdminSettings(base.Settings):
     """Administration API; without tokens only loopback is allowed."""
 
     host: str = "127.0.0.1"
@@ -120,7 +103,7 @@
     tokens: dict[str, str] = pydantic.Field(default_factory=dict)
 
 
-class PromotionSettings(Settings):
+class PromotionSettings(base.Settings):
     """Promotion of documents.
 
     An update whose answer is lost is read back and repeated up to
@@ -135,7 +118,7 @@
     history_bytes: int = pydantic.Field(default=900_000, ge=1, le=1_000_000)
 
 
-class NodeSettings(Settings):
+class NodeSettings(base.Settings):
     """Settings of the node process.
 
     `cluster_key` is the shared secret that authenticates messages between
@@ -161,14 +144,16 @@
     membership: GossipSettings = GossipSettings()
     admission: AdmissionSettings = AdmissionSettings()
     ledger: LedgerSettings = LedgerSettings()
-    quarantine: QuarantineSettings = QuarantineSettings()
+    quarantine: quarantine_settings.QuarantineSettings = (
+        quarantine_settings.QuarantineSettings()
+    )
     promotion: PromotionSettings = PromotionSettings()
     drain_timeout_s: float = pydantic.Field(default=60.0, gt=0)
     forward_s: float = pydantic.Field(default=3.0, ge=0)
     log_level: str = "INFO"
 
 
-class OperatorSettings(Settings):
+class OperatorSettings(base.Settings):
     """Where the operator command finds a node.
 
     `timeout_s` covers a promotion whose answer the node has to read back
--- a/medlardoor/mesh/http_messages.py
+++ b/medlardoor/mesh/http_messages.py
@@ -7,6 +7,7 @@
 __all__ = [
     "CONNECTION_HEADERS",
     "encode_lines",
+    "encode_request",
     "keep_alive_s",
     "phrase",
 ]
@@ -29,6 +30,20 @@
     return b"".join([b"%b: %b\r\n" % header for header in headers])
 
 
+def encode_request(
+    method: bytes, target: bytes, lines: bytes, body: bytes
+) -> bytes:
+    """Encodes a request.
+
+    Args:
+        method: HTTP method.
+        target: Path and query.
+        lines: Header lines, each with its line end; the length among them.
+        body: Complete body.
+    """
+    return b"%b %b HTTP/1.1\r\n%b\r\n%b" % (method, target, lines, body)
+
+
 def keep_alive_s(value: bytes) -> float | None:
     """Timeout of a ``Keep-Alive`` header, in seconds; None without one."""
     for part in value.split(b","):
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -78,9 +78,7 @@
         self._down_until = 0.0
         self._is_down = False
         self._heard_at = self._loop.time()
-        self._breaks: collections.Counter[connection_module.Break] = (
-            collections.Counter()
-        )
+        self._breaks = collections.Counter()
 
     @property
     def room(self) -> waiting.WaitingRoom:
@@ -176,9 +174,9 @@
     def _end_overdue(self, now: float) -> None:
         """Frees the slots of runs whose connections have gone silent."""
         latest = now - self._settings.connections.overdue_s
-        overdue = [h for h in self._sent.values() if h.run.deadline < latest]
-        for handle in overdue:
-            handle.give_up()
+        for handle in list(self._sent.values()):
+            if handle.run.deadline < latest:
+                handle.give_up()
 
     def _reason_to_refuse(
         self, run: runs.Run, now: float
@@ -228,18 +226,15 @@
         left_ms = int((run.deadline - self._loop.time()) * 1_000)
         if left_ms <= 0:
             return None
-        return b"".join(
-            [
-                b"%b %b HTTP/1.1\r\n" % (run.method, run.target),
-                run.headers,
-                b"%b: %d\r\n" % (self._headers.deadline_ms, left_ms),
-                b"%b: %b\r\n\r\n"
-                % (
-                    self._headers.expected_upstream,
-                    current.upstream_id.encode(),
-                ),
-                run.body,
-            ]
+        names = self._headers
+        return http_messages.encode_request(
+            run.method,
+            run.target,
+            run.headers
+            + b"%b: %d\r\n" % (names.deadline_ms, left_ms)
+            + b"%b: %b\r\n"
+            % (names.expected_upstream, current.upstream_id.encode()),
+            run.body,
         )
 
     def release(self, handle: local_run.LocalRun) -> None:
@@ -394,10 +389,8 @@
 
     def _refused(self, reason: errors.Reason) -> runs.RunResult:
         room = self._room
-        outcome = errors.Outcome.NOT_RUN
-        if reason is errors.Reason.KEY_IN_PROGRESS:
-            # The first run of this attempt has started.
-            outcome = errors.Outcome.UNKNOWN
+        is_known = reason is not errors.Reason.KEY_IN_PROGRESS
+        outcome = errors.Outcome.NOT_RUN if is_known else errors.Outcome.UNKNOWN
         return runs.RunResult(
             outcome,
             reason,
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -9,7 +9,6 @@
 from medlardoor import logs
 from medlardoor.admission import buffers, levels
 from medlardoor.blackboard import board as board_module
-from medlardoor.config import settings as product_settings
 from medlardoor.membership import announcements
 from medlardoor.mesh import (
     crashes,
@@ -26,6 +25,7 @@
 )
 from medlardoor.mesh import settings as settings_module
 from medlardoor.quarantine import controller as quarantine_module
+from medlardoor.quarantine import settings as quarantine_settings
 from medlardoor.routing import path
 from medlardoor.store import client
 from medlardoor.wire.generated.medlardoor_messages import ttypes
@@ -76,7 +76,7 @@
             settings.instance, settings.service, settings.failure_domain
         )
         quarantine = quarantine_module.QuarantineController(
-            product_settings.QuarantineSettings(), board, generator
+            quarantine_settings.QuarantineSettings(), board, generator
         )
         self._register = announcements.UpstreamRegister()
         self._crashes = crashes.CrashWatch(quarantine, board, self._publish)
--- a/medlardoor/mesh/tests/test_crashes.py
+++ b/medlardoor/mesh/tests/test_crashes.py
@@ -5,9 +5,8 @@
 import pytest
 
 from medlardoor.blackboard import board as board_module
-from medlardoor.config import settings
 from medlardoor.mesh import crashes, runs
-from medlardoor.quarantine import controller
+from medlardoor.quarantine import controller, settings
 
 
 def _run(target):
--- a/medlardoor/platform/main.py
+++ b/medlardoor/platform/main.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+import types
 
 __all__ = ["main"]
 
@@ -14,6 +15,9 @@
     # httpcore imports Trio where it is installed. The node runs on asyncio, and
     # Trio costs about 0.04 s of processor time at the start and 4 MB.
     sys.modules["trio"] = None
+    # httpcore also imports the certificates for HTTPS, and with them the
+    # reading of archives: about 0.05 s. The store is spoken to without TLS.
+    sys.modules["certifi"] = types.ModuleType("certifi")
     from medlardoor.platform import program
 
     return program.run()
--- a/medlardoor/platform/tests/test_store.py
+++ b/medlardoor/platform/tests/test_store.py
@@ -10,12 +10,13 @@
 
 from medlardoor.mesh import presence, server_connection, settings
 from medlardoor.platform import settings as platform_settings
-from medlardoor.platform import standin_store, store
+from medlardoor.platform import store
 from medlardoor.platform.tests import test_settings
+from medlardoor.standins import object_store
 
 pytestmark = pytest.mark.anyio
 
-Fault = standin_store.StoreFault
+Fault = object_store.StoreFault
 
 
 @pytest.fixture
@@ -42,7 +43,7 @@
 
 @pytest.fixture
 async def standin():
-    return standin_store.StandinStore()
+    return object_store.StandinStore()
 
 
 @pytest.fixture
--- a/medlardoor/quarantine/controller.py
+++ b/medlardoor/quarantine/controller.py
@@ -8,8 +8,8 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
-from medlardoor.config import settings as settings_module
 from medlardoor.quarantine import fingerprints, objects
+from medlardoor.quarantine import settings as settings_module
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 __all__ = ["Allowed", "QuarantineController", "Quarantined", "Suspect"]
--- a/medlardoor/quarantine/objects.py
+++ b/medlardoor/quarantine/objects.py
@@ -20,7 +20,9 @@
         remaining_s: Seconds left by fingerprint in hexadecimal digits.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, defer_build=True
+    )
 
     remaining_s: dict[str, pydantic.NonNegativeFloat] = pydantic.Field(
         default_factory=dict, max_length=MAX_ENTRIES
--- a/medlardoor/quarantine/tests/test_controller.py
+++ b/medlardoor/quarantine/tests/test_controller.py
@@ -4,8 +4,8 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
-from medlardoor.config import settings as settings_module
 from medlardoor.quarantine import controller, fingerprints
+from medlardoor.quarantine import settings as settings_module
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 SETTINGS = settings_module.QuarantineSettings(max_suspects=4)
--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -7,9 +7,9 @@
 
 import anyio
 
-from medlardoor.platform import standin_store
 from medlardoor.soak import relay, upstreams
 from medlardoor.soak import world as world_module
+from medlardoor.standins import object_store
 
 __all__ = ["FaultSeries"]
 
@@ -198,13 +198,13 @@
 
     async def _spoil_store(self, member: Member) -> None:
         store = self._world.store
-        fault = self._generator.choice(list(standin_store.StoreFault))
-        if fault is standin_store.StoreFault.NONE:
+        fault = self._generator.choice(list(object_store.StoreFault))
+        if fault is object_store.StoreFault.NONE:
             store.delay_s = self._generator.uniform(0.05, 0.8)
             store.forget_history()
         store.fault = fault
         await anyio.sleep(self._duration())
-        store.fault = standin_store.StoreFault.NONE
+        store.fault = object_store.StoreFault.NONE
         store.delay_s = 0.0
 
     async def _cut_store(self, member: Member) -> None:
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -50,7 +50,7 @@
     lose: float = 0.0
 
 
-class SoakUpstream(handlers.RequestHandler):
+class SoakUpstream:
     """One upstream process as its node and its callers see it.
 
     Args:
@@ -85,16 +85,6 @@
         self._born_ms = 0
         self.upstream_id = ""
 
-    @property
-    def limits(self) -> routes.ConnectionLimits:
-        """Limits of the listener."""
-        return routes.ConnectionLimits()
-
-    @property
-    def closes_connections(self) -> bool:
-        """Connections are kept."""
-        return False
-
     @property
     def is_running(self) -> bool:
         """Whether the upstream listens."""
@@ -150,8 +140,15 @@
         self,
         request: handlers.Request,
         reply: handlers.Reply,
+        connection: "_UpstreamSocket",
     ) -> handlers.RequestHandle | None:
-        """Runs a request."""
+        """Runs a request.
+
+        Args:
+            request: The request.
+            reply: To be called once.
+            connection: Where it has come from.
+        """
         attempt = request.header(names.HEADERS.attempt_id.lower()).decode()
         wanted = request.header(names.HEADERS.expected_upstream.lower())
         if wanted != self.upstream_id.encode():
@@ -172,7 +169,7 @@
         self._ledger.ran(
             self.service, kind, attempt, self.upstream_id, int(deadline)
         )
-        running = _Running(self, attempt, request, reply)
+        running = _Running(self, attempt, request, reply, connection)
         self._running.add(running)
         work_s = self._generator.expovariate(1 / 0.03) * fault.slow
         running.start(min(work_s, 3.0))
@@ -183,7 +180,7 @@
         self._running.discard(running)
         fault = self.fault
         draw = self._generator.random
-        connection = running.reply.__self__
+        connection = running.connection
         if draw() < fault.lose:
             connection.reset()
             return
@@ -258,9 +255,40 @@
         return answer.startswith(b"HTTP/1.1 200")
 
 
+class _SocketHandler(handlers.RequestHandler):
+    """Hands on the requests of one connection."""
+
+    def __init__(self, upstream: SoakUpstream, connection: "_UpstreamSocket"):
+        self._upstream = upstream
+        self._connection = connection
+
+    @property
+    def limits(self) -> routes.ConnectionLimits:
+        """Limits without meaning here."""
+        return routes.ConnectionLimits()
+
+    @property
+    def closes_connections(self) -> bool:
+        """Connections are kept."""
+        return False
+
+    def handle(
+        self, request: handlers.Request, reply: handlers.Reply
+    ) -> handlers.RequestHandle | None:
+        """Runs a request on the upstream."""
+        return self._upstream.handle(request, reply, self._connection)
+
+
 class _UpstreamSocket(server_connection.ServerConnection):
     """Connection that can also misbehave."""
 
+    def __init__(
+        self,
+        upstream: SoakUpstream,
+        connections: set[server_connection.ServerConnection],
+    ):
+        super().__init__(_SocketHandler(upstream, self), connections)
+
     def reset(self) -> None:
         """Ends the connection without an answer."""
         if self._transport is not None:
@@ -294,12 +322,14 @@
         attempt: str,
         request: handlers.Request,
         reply: handlers.Reply,
+        connection: _UpstreamSocket,
     ):
         self._upstream = upstream
         self._timer: asyncio.TimerHandle | None = None
         self.attempt = attempt
         self.request = request
         self.reply = reply
+        self.connection = connection
 
     def start(self, work_s: float) -> None:
         """Works for a while."""
--- a/medlardoor/soak/world.py
+++ b/medlardoor/soak/world.py
@@ -11,9 +11,9 @@
 import anyio.abc
 
 from medlardoor.mesh import server_connection
-from medlardoor.platform import names, standin_store
+from medlardoor.platform import names
 from medlardoor.soak import callers, evidence, relay, upstreams
-from medlardoor.standins import processes
+from medlardoor.standins import object_store, processes
 
 __all__ = ["KINDS", "Member", "World", "wait_exit"]
 
@@ -136,7 +136,7 @@
         self._store_connections: set[server_connection.ServerConnection] = set()
         self._version = 0
         self.ledger = ledger
-        self.store = standin_store.StandinStore()
+        self.store = object_store.StandinStore()
         self.members: list[Member] = []
 
     async def start(self, group: anyio.abc.TaskGroup) -> None:
