--- a/medlardoor/admin/api.py
+++ b/medlardoor/admin/api.py
@@ -16,7 +16,7 @@
 from medlardoor import errors
 from medlardoor.admin import messages, page, tokens, views
 from medlardoor.blackboard import board as board_module
-from medlardoor.config import diff
+from medlardoor.config import base, diff
 from medlardoor.config import settings as settings_module
 from medlardoor.promotion import promoter
 
@@ -132,7 +132,7 @@
         """Lists the last promoted versions."""
 
 
-class _PromotionBody(settings_module.Settings):
+class _PromotionBody(base.Settings):
     """Body of ``POST /v1/promote``."""
 
     text: str
--- a/medlardoor/scenarios/planning.py
+++ b/medlardoor/scenarios/planning.py
@@ -11,7 +11,7 @@
 import result
 
 from medlardoor import errors
-from medlardoor.config import settings as settings_module
+from medlardoor.config import base
 from medlardoor.scenarios import checks, conditions, language, steps
 from medlardoor.scenarios import world as world_module
 
@@ -127,9 +127,7 @@
 def _bind_options(function, words, options) -> result.Result:
     parameters = list(inspect.signature(function).parameters.values())[1:]
     whole = len(parameters) == 1 and inspect.isclass(parameters[0].annotation)
-    whole = whole and issubclass(
-        parameters[0].annotation, settings_module.Settings
-    )
+    whole = whole and issubclass(parameters[0].annotation, base.Settings)
     model = parameters[0].annotation if whole else _model_of(parameters)
     names = list(model.model_fields)
     if len(words) > len(names):
@@ -154,9 +152,7 @@
         p.name: (p.annotation, ... if p.default is p.empty else p.default)
         for p in parameters
     }
-    return pydantic.create_model(
-        "Options", __base__=settings_module.Settings, **fields
-    )
+    return pydantic.create_model("Options", __base__=base.Settings, **fields)
 
 
 def _fault(step: language.Step, expected: str) -> errors.Fault:
--- a/medlardoor/scenarios/steps.py
+++ b/medlardoor/scenarios/steps.py
@@ -15,7 +15,7 @@
 import result
 
 from medlardoor import config
-from medlardoor.config import settings as settings_module
+from medlardoor.config import base
 from medlardoor.scenarios import evidence as evidence_module
 from medlardoor.scenarios import world as world_module
 
@@ -46,7 +46,7 @@
 Done = result.Result[str, world_module.Observation]
 
 
-class ServiceOptions(settings_module.Settings):
+class ServiceOptions(base.Settings):
     """Options of ``start service``.
 
     `calls` lists child calls, ``service method path [on_path]`` each,
@@ -65,7 +65,7 @@
     drain_timeout_s: float = 20.0
 
 
-class LoadOptions(settings_module.Settings):
+class LoadOptions(base.Settings):
     """Options of ``load``: one kind at one rate, to all nodes or to one."""
 
     name: str
@@ -88,7 +88,7 @@
     duration_s: float
 
 
-class UpstreamFaults(settings_module.Settings):
+class UpstreamFaults(base.Settings):
     """Options of ``fault upstream``; faults that are not given end."""
 
     instance: str
--- a/medlardoor/standins/faults.py
+++ b/medlardoor/standins/faults.py
@@ -8,13 +8,13 @@
 import result
 
 from medlardoor import errors
-from medlardoor.config import settings as settings_module
+from medlardoor.config import base
 from medlardoor.standins import answers
 
 __all__ = ["Faults", "LoadReport", "LoadReports", "parse_faults"]
 
 
-class Faults(settings_module.Settings):
+class Faults(base.Settings):
     """Faults that a stand-in shows.
 
     `report` is ``ok``; ``stale``: the report of the time when the fault began,
--- a/medlardoor/standins/settings.py
+++ b/medlardoor/standins/settings.py
@@ -2,7 +2,7 @@
 
 import pydantic
 
-from medlardoor.config import settings as settings_module
+from medlardoor.config import base
 
 __all__ = [
     "ChildCallSettings",
@@ -13,7 +13,7 @@
 ]
 
 
-class ChildCallSettings(settings_module.Settings):
+class ChildCallSettings(base.Settings):
     """Calls that an upstream stand-in makes while it runs a request.
 
     `on_path` limits the calls to targets with this prefix. `parallel` sends
@@ -28,7 +28,7 @@
     on_path: str = "/"
 
 
-class UpstreamStandinSettings(settings_module.Settings):
+class UpstreamStandinSettings(base.Settings):
     """An upstream stand-in.
 
     `queue_limit` bounds the requests that wait for a slot; None is the
@@ -58,7 +58,7 @@
     drain_grace_s: float = pydantic.Field(default=1.5, ge=0)
 
 
-class KindLoadSettings(settings_module.Settings):
+class KindLoadSettings(base.Settings):
     """Requests of one kind that the load client sends.
 
     `resends` is the number of resends after a failure; with
@@ -84,7 +84,7 @@
     upload_s: float = pydantic.Field(default=0.0, ge=0)
 
 
-class PhaseSettings(settings_module.Settings):
+class PhaseSettings(base.Settings):
     """A phase of the load; `rates` are requests a second by kind."""
 
     name: str
@@ -92,7 +92,7 @@
     rates: dict[str, float]
 
 
-class LoadSettings(settings_module.Settings):
+class LoadSettings(base.Settings):
     """The load client.
 
     `targets` are caller addresses by service. Without control
