Start a lone request of a connection without looking at its route

Whether a request may run beside others was looked up for each request, also where none was behind it.

--- a/medlardoor/mesh/pipeline.py
+++ b/medlardoor/mesh/pipeline.py
@@ -72,6 +72,11 @@
 
     def start(self) -> None:
         """Passes on the requests that may run now."""
+        if len(self._exchanges) == 1:
+            # Nothing is behind it, so whether it may overlap does not matter.
+            if not self._exchanges[0].is_started:
+                self._start(self._exchanges[0])
+            return
         for exchange in list(self._exchanges):
             if not exchange.is_started:
                 is_first = exchange is self._exchanges[0]
