Bound the chains in progress where they start

Half of the lookups ran and failed with a later call; a request to close a job, cheap and as important as a lookup, was served in one case out of ten. The admission level of the scarce service cannot settle: calls come only as fast as the former ones are answered, so their rate never shows how many chains are in progress, and a level that falls lets far too many start within the second that a chain takes.

Change: a node bounds the chains of each rank that it has in progress by how long their calls wait (admission/windows); the wait travels with the answer. Calls of runs in progress pass the admission level, and a request that makes no calls ranks as a call at the service that runs it. The level works off a queue faster. test_chains_that_have_begun_are_ended let the first call of a chain count as a request of its own, which no longer exists; it now replays the same load with the node at which chains start, with the same bounds.

--- a/medlardoor/admission/levels.py
+++ b/medlardoor/admission/levels.py
@@ -6,13 +6,16 @@
 """
 
 from collections import abc
+import dataclasses
 import hashlib
 
 __all__ = [
     "LEVELS_PER_RANK",
     "AdmissionLevel",
+    "LevelSettings",
     "above",
     "fresh",
+    "is_nested",
     "level_of",
     "nested",
 ]
@@ -36,15 +39,6 @@
 # Intervals that the level rests where a whole rank is admitted.
 _BOUNDARY_INTERVALS = 3
 
-# Share of the difference between the queue and its target that is corrected
-# within one interval.
-_QUEUE_GAIN = 0.1
-
-# A queue, however long, leaves this share of the capacity to new calls. With
-# less, one burst of unimportant calls raises the level above important ones,
-# although those fit and would pass the burst in the queue.
-_MIN_ROOM = 0.8
-
 
 def level_of(rank: int, chain_id: bytes) -> int:
     """Level of a call.
@@ -65,7 +59,8 @@
     """Level of a request that has cost nothing yet.
 
     Each importance has two ranks: the lower one for requests that enter, the
-    upper one for calls of work that is already running.
+    upper one for calls of work that is already running and for requests that
+    are known to make no calls.
 
     Args:
         importance: Importance of its kind; 0 for the least important one.
@@ -89,14 +84,40 @@
     return (rank | 1) * LEVELS_PER_RANK + chain
 
 
+def is_nested(rank: int) -> bool:
+    """Whether a rank is that of calls and not of requests that enter."""
+    return rank % 2 == 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LevelSettings:
+    """How fast the level works off a queue.
+
+    Attributes:
+        queue_gain: Share of the difference between the queue and its target
+            that is corrected within one interval.
+        min_room: A queue, however long, leaves this share of the capacity to
+            new calls. With less, one burst of unimportant calls raises the
+            level above important ones, although those fit and would pass the
+            burst in the queue.
+    """
+
+    queue_gain: float = 0.1
+    min_room: float = 0.8
+
+
 class AdmissionLevel:
     """Lowest level that a node admits, from a histogram of recent levels.
 
+    Args:
+        settings: How fast it works off a queue.
+
     Attributes:
         value: Admission level in force; 0 admits everything.
     """
 
-    def __init__(self):
+    def __init__(self, settings: LevelSettings = LevelSettings()):  # noqa: B008
+        self._settings = settings
         self.value = 0
         self._offered: dict[int, float] = {}
         self._intervals = 0.0
@@ -167,6 +188,7 @@
 
     def _level_for(self, capacity, queued_from, target) -> int:
         """Lowest level whose calls at or above it fit into the room."""
+        settings = self._settings
         used = 0.0
         rank = -1
         bound = 0.0
@@ -174,8 +196,9 @@
             if level // LEVELS_PER_RANK != rank:
                 rank = level // LEVELS_PER_RANK
                 queued = queued_from(rank)
-                room = capacity + (target - queued) * _QUEUE_GAIN
-                bound = max(room, capacity * _MIN_ROOM) * self._intervals
+                room = capacity + (target - queued) * settings.queue_gain
+                room = max(room, capacity * settings.min_room)
+                bound = room * self._intervals
             used += self._offered[level]
             if used > bound:
                 return level + 1
--- a/medlardoor/admission/tests/test_waiting.py
+++ b/medlardoor/admission/tests/test_waiting.py
@@ -218,27 +218,62 @@
     assert completed >= 0.8 * possible
 
 
-def _replay_chains(knows_chains):
+def _replay_chains(knows_runs):
     """Whole chains, and the share of served calls that were of no use.
 
     Replays clearflow-bengal scale-1: chains of eight calls, one after the
-    other, at three upstreams, with twice the calls that fit.
+    other, at three upstreams, with twice the calls that fit. The node of the
+    upstream at which a chain starts knows its run, or each call counts for
+    itself.
     """
     generator = random.Random(7)
-    rooms = [waiting.WaitingRoom(waiting.WaitingSettings()) for _ in range(3)]
+    settings = waiting.WaitingSettings()
+    if not knows_runs:
+        settings = waiting.WaitingSettings(level=levels.LevelSettings())
+    rooms = [waiting.WaitingRoom(settings) for _ in range(3)]
     for room in rooms:
         room.set_slots(17)
+    starts = [waiting.WaitingRoom(waiting.WaitingSettings()) for _ in range(5)]
+    for room in starts:
+        room.set_slots(36)
     ends = []
     whole = served = 0
 
+    def enter(chain, now):
+        if not knows_runs:
+            offer(chain, now)
+            return
+        room = generator.choice(starts)
+        level = chain["level"] - levels.LEVELS_PER_RANK
+        chain["run"] = waiting.Ticket(level, now + 5.0, now + 1.5, chain)
+        chain["room"] = room
+        if room.offer(chain["run"], now) is waiting.Decision.START:
+            offer(chain, now)
+
+    def leave(chain, now):
+        if not knows_runs:
+            return
+        room = chain["room"]
+        room.end(chain["run"], now, True)
+        while (waited := room.start_next(now)) is not None:
+            offer(waited.payload, now)
+
     def offer(chain, now):
         room = generator.choice(rooms)
         ticket = waiting.Ticket(
             chain["level"], now + 0.7, now + 0.3, (room, chain)
         )
-        ticket.begun = knows_chains and chain["done"] > 0
-        if room.offer(ticket, now) is waiting.Decision.START:
+        ticket.nested = knows_runs
+        decision = room.offer(ticket, now)
+        if decision is waiting.Decision.START:
             begin(ticket, now)
+        elif decision is waiting.Decision.REFUSE:
+            lose(chain, now)
+
+    def lose(chain, now):
+        if knows_runs:
+            chain["run"].calls_waited_s += 1.0
+        leave(chain, now)
 
     def begin(ticket, now):
         run_s = generator.uniform(0.03, 0.08)
@@ -250,23 +285,31 @@
         now = due
         if due == next_tick:
             next_tick += 0.1
-            for room in rooms:
+            for room in starts:
                 room.tick(now)
                 room.expire(now)
+            for room in rooms:
+                room.tick(now)
+                for expired in room.expire(now):
+                    lose(expired.payload[1], now)
         elif due == next_chain:
             next_chain += generator.expovariate(230.0)
             level = levels.nested(levels.fresh(0, generator.randbytes(8)))
-            offer({"level": level, "done": 0}, now)
+            enter({"level": level, "done": 0}, now)
         else:
             ticket = heapq.heappop(ends)[2]
             room, chain = ticket.payload
             room.end(ticket, now, True)
             served += 1
             chain["done"] += 1
+            if knows_runs:
+                waited_s = ticket.started_at - ticket.offered_at
+                chain["run"].calls_waited_s += waited_s
             if chain["done"] < 8:
                 offer(chain, now)
             else:
                 whole += 1
+                leave(chain, now)
             while (waited := room.start_next(now)) is not None:
                 begin(waited, now)
     return whole, 1 - 8 * whole / served
@@ -274,8 +317,8 @@
 
 def test_chains_that_have_begun_are_ended():
     """A level that rises cuts chains whose first calls were served."""
-    whole, wasted = _replay_chains(knows_chains=True)
-    whole_before, wasted_before = _replay_chains(knows_chains=False)
+    whole, wasted = _replay_chains(knows_runs=True)
+    whole_before, wasted_before = _replay_chains(knows_runs=False)
     assert wasted < 0.1
     assert whole > 1.1 * whole_before
     assert wasted < wasted_before / 2
--- /dev/null
+++ b/medlardoor/admission/tests/test_windows.py
@@ -0,0 +1,105 @@
+"""Tests of the number of chains in progress."""
+
+from medlardoor.admission import levels, waiting, windows
+
+Decision = waiting.Decision
+SLOTS = 40
+CHAIN_S = 1.0
+
+
+def _run(window, seconds, running, share, begin=0.0):
+    """Keeps chains in progress that wait for a share of their time."""
+    in_progress = 0
+    for second in range(seconds):
+        started = 0
+        while window.is_open and started < running:
+            window.started()
+            started += 1
+        in_progress = started
+        now = begin + second + CHAIN_S
+        for _ in range(started):
+            window.ended(CHAIN_S, share(started) * CHAIN_S, SLOTS, now)
+    return in_progress
+
+
+def test_no_bound_before_calls_wait():
+    """Chains are kept out while the called service has room."""
+    window = windows.ChainWindow()
+    assert _run(window, 20, 30, lambda started: 0.05) == 30
+    assert window.size is None
+
+
+def test_settles_at_what_the_called_service_can_run():
+    """Too many chains are in progress, so the calls of all of them wait."""
+    window = windows.ChainWindow()
+    # A service that runs the calls of ten chains at the same time.
+    kept = _run(window, 20, SLOTS, lambda started: max(0.0, 1 - 10 / started))
+    assert 8 <= kept <= 13
+
+
+def test_keeps_one_chain_when_all_calls_wait():
+    """A node that starts no chain never learns that there is room again."""
+    window = windows.ChainWindow()
+    _run(window, 20, SLOTS, lambda started: 1.0)
+    assert window.size == 1.0
+    assert window.is_open
+
+
+def test_bound_ends_with_the_shortage():
+    """Chains are kept out for long after there is room for them again."""
+    window = windows.ChainWindow()
+    _run(window, 10, SLOTS, lambda started: max(0.0, 1 - 10 / started))
+    assert window.size is not None
+    _run(window, 10, SLOTS, lambda started: 0.0, begin=10.0)
+    assert window.size is None
+
+
+def test_closed_window_leaves_slots_to_others():
+    """Chains that may not start yet block calls of runs in progress."""
+    room = waiting.WaitingRoom(waiting.WaitingSettings())
+    room.set_slots(SLOTS)
+    urgent = 4 * levels.LEVELS_PER_RANK
+    chains = []
+    for _ in range(20):
+        chains.append(waiting.Ticket(urgent, 10.0, 5.0))
+        room.offer(chains[-1], 0.0)
+    for chain in chains:
+        chain.calls_waited_s = 0.9
+        room.end(chain, CHAIN_S, True)
+    decisions = [
+        room.offer(waiting.Ticket(urgent, 10.0, 5.0), CHAIN_S)
+        for _ in range(20)
+    ]
+    assert decisions.count(Decision.START) < 15
+    assert decisions[-1] is Decision.WAIT
+    level = levels.nested(0)
+    call = waiting.Ticket(level, 2.0, 1.5, nested=True)
+    assert room.offer(call, CHAIN_S) is Decision.START
+    room.tick(CHAIN_S)
+    room.tick(CHAIN_S + 0.2)
+    # They do not wait for a slot, so the service is not overloaded.
+    assert room.level == 0
+
+
+def test_request_that_waits_starts_when_the_window_opens():
+    """A chain waits for its window although others have ended."""
+    room = waiting.WaitingRoom(waiting.WaitingSettings())
+    room.set_slots(SLOTS)
+    chains = [waiting.Ticket(0, 10.0, 5.0) for _ in range(4)]
+    for chain in chains:
+        room.offer(chain, 0.0)
+    for chain in chains[:3]:
+        chain.calls_waited_s = 1.0
+        room.end(chain, CHAIN_S, True)
+    running = []
+    waits = waiting.Ticket(0, 11.0, 5.0)
+    while True:
+        ticket = waiting.Ticket(0, 11.0, 5.0)
+        if room.offer(ticket, CHAIN_S) is not Decision.START:
+            waits = ticket
+            break
+        running.append(ticket)
+    assert waits.waiting
+    assert room.start_next(CHAIN_S) is None
+    room.end(chains[3], CHAIN_S + 0.01, True)
+    assert room.start_next(CHAIN_S + 0.01) is waits
--- a/medlardoor/admission/waiting.py
+++ b/medlardoor/admission/waiting.py
@@ -5,8 +5,8 @@
 of low priority. The former must not wait behind the latter, and a request that
 would wait too long to be useful is refused at once, while its caller can still
 go elsewhere. Work that needs several such calls is of no use if one of them is
-refused, so all calls of one chain are admitted or refused alike, by their
-level.
+refused, so the admission level refuses requests that have cost nothing yet, and
+the number of chains in progress is bounded where they start.
 """
 
 import collections
@@ -15,17 +15,13 @@
 import itertools
 import typing
 
-from medlardoor.admission import capacity, levels, service_times
+from medlardoor.admission import capacity, levels, service_times, windows
 
 __all__ = ["Decision", "Ticket", "WaitingRoom", "WaitingSettings"]
 
 # Share of the time left that counts once the objective has passed.
 LATE_SHARE = 0.25
 
-# Calls of chains that have begun count with this level, above all others: they
-# take their part of the capacity whatever the admission level is.
-_BEGUN_LEVEL = 1_000 * levels.LEVELS_PER_RANK
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitingSettings:
@@ -34,8 +30,9 @@
     Attributes:
         goal_share: Longest wait of rank 0, as a share of the time until the
             response-time objective passes. A caller that is refused within an
-            eighth of it can still be served elsewhere.
-        deadline_share: Longest wait of other ranks, as a share of the time
+            eighth of it can still be served elsewhere. Requests of other ranks
+            wait longer if they can still end within their objective.
+        deadline_share: Longest wait of all others, as a share of the time
             left. They are served next, and refusing a call of work that is
             already running wastes that work.
         max_waiting: Requests that may wait.
@@ -43,6 +40,9 @@
             when nearly all of their slots are busy.
         interval_s: Pause between two adaptations of the admission level.
         max_wait_s: Wait that the admission level keeps the queue below.
+        level: How fast the admission level works off a queue. Each call comes
+            when the former one was answered, so calls in a queue stand for
+            many more to come, and new chains are kept out until it is short.
     """
 
     goal_share: float = 0.12
@@ -51,6 +51,9 @@
     usable_share: float = 0.945
     interval_s: float = 0.1
     max_wait_s: float = 0.25
+    level: levels.LevelSettings = levels.LevelSettings(
+        queue_gain=0.4, min_room=0.2
+    )
 
 
 class Decision(enum.Enum):
@@ -70,11 +73,13 @@
         deadline: When the caller stops waiting, in seconds.
         goal_by: When the response-time objective passes, in seconds.
         payload: What the owner of the room attaches.
-        begun: Whether a call of the same chain was answered before. The work
-            for the chain is lost with this call, so the admission level does
-            not apply to it.
+        nested: Whether a run in progress makes the request. Its work is lost
+            with this call, so the admission level does not apply to it.
+        calls_waited_s: How long the calls of its run have waited, in seconds;
+            kept by the owner of the room.
         leave_by: When the ticket stops waiting; set by the room.
         waiting: Whether the ticket is in the room; set by the room.
+        offered_at: When the request came; set by the room.
         started_at: When the request got its slot; set by the room.
     """
 
@@ -82,9 +87,11 @@
     deadline: float
     goal_by: float
     payload: typing.Any = None
-    begun: bool = False
+    nested: bool = False
+    calls_waited_s: float = 0.0
     leave_by: float = 0.0
     waiting: bool = False
+    offered_at: float = 0.0
     started_at: float = 0.0
 
     @property
@@ -108,7 +115,11 @@
         self._waiting = 0
         self._times = service_times.ServiceTimes()
         self._capacity = capacity.Capacity(self._times)
-        self._level = levels.AdmissionLevel()
+        self._level = levels.AdmissionLevel(settings.level)
+        # Requests that are not nested, by rank.
+        self._windows: dict[int, windows.ChainWindow] = collections.defaultdict(
+            windows.ChainWindow
+        )
         self._adapted_at: float | None = None
 
     @property
@@ -145,21 +156,19 @@
             ticket: The request.
             now: Current time, in seconds.
         """
+        ticket.offered_at = now
         if now >= ticket.deadline:
             return Decision.REFUSE
-        if ticket.begun:
-            self._level.record(_BEGUN_LEVEL)
-        else:
-            self._level.record(ticket.level)
-            if ticket.level < self._level.value:
-                return Decision.REFUSE
-        if self._running < self._limit and not self._ahead(ticket.rank):
+        self._level.record(ticket.level)
+        if not ticket.nested and ticket.level < self._level.value:
+            return Decision.REFUSE
+        if self._is_free(ticket) and not self._ahead(ticket.rank):
             self._start(ticket, now)
             return Decision.START
         if self._limit == 0 or self._waiting >= self._settings.max_waiting:
             return Decision.REFUSE
         patience = self._patience(ticket, now)
-        if patience <= 0 or self.expected_wait(ticket.rank) > patience:
+        if patience <= 0 or self._expected_wait(ticket) > patience:
             return Decision.REFUSE
         ticket.leave_by = now + patience
         ticket.waiting = True
@@ -177,6 +186,13 @@
             answered: Whether the upstream gave an answer.
         """
         self._running -= 1
+        if not ticket.nested:
+            self._windows[ticket.rank].ended(
+                now - ticket.started_at,
+                ticket.calls_waited_s,
+                self._limit,
+                now,
+            )
         self._capacity.completed()
         if answered:
             self._times.record("", now - ticket.started_at, now)
@@ -194,7 +210,7 @@
         if elapsed_s < settings.interval_s * 0.9:
             return
         self._adapted_at = now
-        self._capacity.update(self._limit, self._waiting, elapsed_s, now)
+        self._capacity.update(self._limit, self._ahead(0), elapsed_s, now)
         rate = self._capacity.rate
         if rate is None:
             return
@@ -222,6 +238,8 @@
                 if queue[0].leave_by <= now:
                     # `expire` reports it to its owner.
                     break
+                if not self._is_free(queue[0]):
+                    break
                 ticket = queue.popleft()
                 self._remove(ticket)
                 self._start(ticket, now)
@@ -257,34 +275,60 @@
         self._queues.clear()
         return tickets
 
-    def expected_wait(self, rank: int) -> float:
-        """Expected wait of a new request of a rank, in seconds."""
+    def _expected_wait(self, ticket: Ticket) -> float:
+        """Expected wait of a new request, in seconds."""
+        if self._is_bounded(ticket):
+            ahead = len(self._queues.get(ticket.rank, ()))
+            return self._windows[ticket.rank].expected_wait(ahead)
         rate = self._capacity.rate
         if not rate or self._running < self._limit:
             return 0.0
-        return (self._ahead(rank) + 1) / rate
+        return (self._ahead(ticket.rank) + 1) / rate
 
     def _ahead(self, rank: int) -> int:
-        """Waiting requests of at least a rank."""
+        """Requests of at least a rank that wait for a slot.
+
+        Those that wait for their window to open leave the slots to others.
+        """
         if not self._waiting:
             return 0
         return sum(
-            len(queue) for other, queue in self._queues.items() if other >= rank
+            len(queue)
+            for other, queue in self._queues.items()
+            if other >= rank and self._may_start(other)
         )
 
+    def _may_start(self, rank: int) -> bool:
+        """Whether the window of a rank is open; nested calls have none."""
+        return levels.is_nested(rank) or self._windows[rank].is_open
+
+    def _is_bounded(self, ticket: Ticket) -> bool:
+        """Whether a request has to wait for its window to open."""
+        return not ticket.nested and not self._may_start(ticket.rank)
+
+    def _is_free(self, ticket: Ticket) -> bool:
+        """Whether there is a slot that a request may take."""
+        return self._running < self._limit and not self._is_bounded(ticket)
+
     def _patience(self, ticket: Ticket, now: float) -> float:
         settings = self._settings
         left = ticket.deadline - now
-        if ticket.rank > 0:
-            return left * settings.deadline_share
+        longest = left * settings.deadline_share
+        if ticket.nested:
+            return longest
         goal_left = max(ticket.goal_by - now, 0.0)
         # After the objective has passed an answer still has some value.
-        useful = max(goal_left, left * LATE_SHARE)
-        return min(left, useful) * settings.goal_share
+        late = left * LATE_SHARE
+        if ticket.rank > 0:
+            mean_s = self._windows[ticket.rank].mean_s
+            return min(longest, max(goal_left - mean_s, late))
+        return min(left, max(goal_left, late)) * settings.goal_share
 
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started_at = now
         self._running += 1
+        if not ticket.nested:
+            self._windows[ticket.rank].started()
 
     def _remove(self, ticket: Ticket) -> None:
         ticket.waiting = False
--- /dev/null
+++ b/medlardoor/bench/chains.py
@@ -0,0 +1,327 @@
+"""Chains of calls under load, in simulated time, on the data path's deciders.
+
+Requests enter at all instances and make calls down a tree of services. Waiting,
+levels, entry and placement are the product's own classes; what lies between
+them follows `medlardoor.mesh.calls`, without input and output.
+"""
+
+import collections.abc
+import dataclasses
+import heapq
+import itertools
+import random
+
+from medlardoor.admission import levels, waiting
+from medlardoor.bench import trees
+from medlardoor.blackboard import board
+from medlardoor.routing import path, placement
+
+__all__ = ["simulate"]
+
+TICK_S = 0.1
+STATUS_INTERVAL_S = 0.4
+
+# One way between two instances, in seconds.
+DELAY_S = 0.001
+
+# Spread of run times around their mean, as the sigma of a normal distribution.
+SPREAD = 0.3
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Request:
+    """A request of a caller over all its attempts."""
+
+    name: str
+    kind: trees.Kind
+    entered_at: float
+    returns: int = 1
+    spent_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Run:
+    """A request or call on its way."""
+
+    request: _Request
+    name: str
+    kind: trees.Kind
+    origin: "_Instance"
+    parent: "_Run | None"
+    level: int
+    deadline: float
+    goal_by: float
+    path_level: int = 0
+    made_calls: bool = False
+    next_call: int = 0
+    redirects: int = 0
+    candidate: placement.Candidate | None = None
+    target: "_Instance | None" = None
+    ticket: waiting.Ticket | None = None
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+
+class _Instance:
+    """A node and its upstream."""
+
+    def __init__(
+        self,
+        name: str,
+        service_name: str,
+        service: trees.Service,
+        speed: float,
+        generator: random.Random,
+    ):
+        self.name = name
+        self.service = service_name
+        self.speed = speed
+        self.room = waiting.WaitingRoom(waiting.WaitingSettings())
+        self.room.set_slots(service.slots)
+        self.paths = path.PathController(board.Blackboard(name, name, ""))
+        self.placement = placement.Placement(
+            placement.PlacementSettings(), generator
+        )
+        self.candidates: dict[str, list[placement.Candidate]] = {}
+
+
+class _Simulation:
+    def __init__(self, tree: trees.Tree, seed: int):
+        self._tree = tree
+        self._generator = random.Random(seed)
+        self._events = []
+        self._numbers = itertools.count()
+        self.tally = trees.Tally()
+        self._instances = {}
+        for service_name, service in tree.services.items():
+            for number, speed in enumerate(service.speeds):
+                name = f"{service_name}-{number}"
+                self._instances[name] = _Instance(
+                    name, service_name, service, speed, self._generator
+                )
+        for instance in self._instances.values():
+            for other in self._instances.values():
+                candidate = placement.Candidate(
+                    other.name, limit=other.room.limit
+                )
+                instance.candidates.setdefault(other.service, []).append(
+                    candidate
+                )
+
+    def run(self) -> trees.Tally:
+        generator = self._generator
+        for load in self._tree.loads:
+            at = load.begin
+            while (at := at + generator.expovariate(load.rate)) < load.end:
+                self._push(at, self._arrive, load.kind)
+        for instance in self._instances.values():
+            self._push(generator.random() * TICK_S, self._tick, instance)
+            offset = generator.random() * STATUS_INTERVAL_S
+            self._push(offset, self._report, instance)
+        while self._events:
+            now, _, act, item = heapq.heappop(self._events)
+            if now > self._tree.end:
+                break
+            act(item, now)
+        return self.tally
+
+    def _push(self, at: float, act: collections.abc.Callable, item) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), act, item))
+
+    def _tick(self, instance: _Instance, now: float) -> None:
+        room = instance.room
+        room.tick(now)
+        for ticket in room.expire(now):
+            self._refused(ticket.payload, now)
+        self._start_waiting(instance, now)
+        self._push(now + TICK_S, self._tick, instance)
+
+    def _report(self, instance: _Instance, now: float) -> None:
+        room = instance.room
+        for other in self._instances.values():
+            for candidate in other.candidates[instance.service]:
+                if candidate.instance == instance.name:
+                    candidate.reported_busy = room.running + room.waiting
+                    candidate.sent_since = 0
+                    candidate.level = room.level
+                    candidate.level_at = now
+        self._push(now + STATUS_INTERVAL_S, self._report, instance)
+
+    def _arrive(self, name: str, now: float) -> None:
+        self.tally.asked[name] += 1
+        request = _Request(name, self._tree.kinds[name], now)
+        self._enter(request, now)
+
+    def _enter(self, request: _Request, now: float) -> None:
+        origin = self._generator.choice(list(self._instances.values()))
+        kind = request.kind
+        level = levels.fresh(kind.importance, self._generator.randbytes(8))
+        if not kind.calls:
+            level = levels.nested(level)
+        run = _Run(
+            request,
+            request.name,
+            kind,
+            origin,
+            None,
+            level,
+            request.entered_at + kind.timeout_s,
+            request.entered_at + kind.goal_s,
+        )
+        if not origin.paths.admits(request.name, levels.nested(level), now):
+            self._end_refused(run, now)
+            return
+        self._send(run, now)
+
+    def _send(self, run: _Run, now: float) -> None:
+        found = run.origin.candidates[run.kind.service]
+        if run.tried:
+            found = [c for c in found if c.instance not in run.tried]
+        candidate = run.origin.placement.choose(found, run.level, now)
+        if candidate is None:
+            self._meet(run, min((c.level for c in found), default=0))
+            self._end_refused(run, now)
+            return
+        candidate.outstanding += 1
+        candidate.sent_since += 1
+        run.candidate = candidate
+        run.target = self._instances[candidate.instance]
+        self._push(now + DELAY_S, self._offer, run)
+
+    def _offer(self, run: _Run, now: float) -> None:
+        ticket = waiting.Ticket(
+            run.level,
+            run.deadline,
+            run.goal_by,
+            run,
+            nested=run.parent is not None,
+        )
+        run.ticket = ticket
+        decision = run.target.room.offer(ticket, now)
+        if decision is waiting.Decision.REFUSE:
+            self._push(now + DELAY_S, self._refused, run)
+        elif decision is waiting.Decision.START:
+            self._start(run, now)
+
+    def _start_waiting(self, instance: _Instance, now: float) -> None:
+        while (ticket := instance.room.start_next(now)) is not None:
+            self._start(ticket.payload, now)
+
+    def _start(self, run: _Run, now: float) -> None:
+        run.next_call = 0
+        factor = self._generator.lognormvariate(-(SPREAD**2) / 2, SPREAD)
+        work_s = run.kind.work_s * factor / run.target.speed
+        run.request.spent_s += work_s
+        self.tally.used_s[run.kind.service] += work_s
+        self._push(now + work_s, self._go_on, run)
+
+    def _go_on(self, run: _Run, now: float) -> None:
+        """Makes the next call of a run, or ends it."""
+        if run.next_call >= len(run.kind.calls) or now >= run.deadline:
+            self._end_run(run, now < run.deadline, now)
+            return
+        name = run.kind.calls[run.next_call]
+        run.next_call += 1
+        run.made_calls = True
+        kind = self._tree.kinds[name]
+        call = _Run(
+            run.request,
+            name,
+            kind,
+            run.target,
+            run,
+            levels.nested(run.level),
+            min(run.deadline, now + kind.timeout_s),
+            min(run.deadline, now + kind.goal_s),
+        )
+        self._send(call, now)
+
+    def _end_run(self, run: _Run, good: bool, now: float) -> None:
+        run.target.room.end(run.ticket, now, True)
+        waited_s = run.ticket.started_at - run.ticket.offered_at
+        self._note_waited(run, waited_s + run.ticket.calls_waited_s)
+        self._start_waiting(run.target, now)
+        self._push(now + DELAY_S, self._answered if good else self._fail, run)
+
+    def _learn(self, run: _Run, good: bool, now: float) -> None:
+        candidate = run.candidate
+        room = run.target.room
+        candidate.outstanding -= 1
+        candidate.reported_busy = room.running + room.waiting
+        candidate.sent_since = 0
+        self._meet(run, max(room.level, run.path_level))
+        run.origin.paths.observe(
+            run.kind.service, run.name, run.path_level, now
+        )
+        if good or not run.path_level:
+            elapsed_s = now - run.ticket.started_at
+            run.origin.placement.answered(candidate, elapsed_s, good, now)
+
+    def _answered(self, run: _Run, now: float) -> None:
+        self._learn(run, True, now)
+        if run.parent is not None:
+            self._go_on(run.parent, now)
+            return
+        tally = self.tally
+        if now <= run.goal_by:
+            tally.good[run.name] += 1
+            tally.good_at[run.name].append(now)
+        else:
+            tally.late[run.name] += 1
+
+    def _fail(self, run: _Run, now: float) -> None:
+        self._learn(run, False, now)
+        if run.parent is not None:
+            self._end_run(run.parent, False, now)
+            return
+        self.tally.failed[run.name] += 1
+        self.tally.wasted_s += run.request.spent_s
+
+    def _refused(self, run: _Run, now: float) -> None:
+        candidate = run.candidate
+        room = run.target.room
+        candidate.outstanding -= 1
+        candidate.reported_busy = room.running + room.waiting
+        candidate.sent_since = 0
+        self._meet(run, room.level)
+        candidate.level = max(room.level, run.level + 1)
+        candidate.level_at = now
+        run.tried.add(candidate.instance)
+        if not run.redirects:
+            run.redirects = 1
+            self._send(run, now)
+            return
+        self._end_refused(run, now)
+
+    def _end_refused(self, run: _Run, now: float) -> None:
+        if run.parent is not None:
+            self._note_waited(run, run.deadline - now)
+            self._end_run(run.parent, False, now)
+            return
+        request = run.request
+        if not request.returns:
+            self.tally.refused[request.name] += 1
+            self.tally.refused_again[request.name] += 1
+            return
+        request.returns -= 1
+        left_s = run.deadline - now
+        useful = max((run.goal_by - now) * 0.5, left_s * 0.15)
+        pause_s = min(left_s * 0.3, self._generator.uniform(0.3, 1.0) * useful)
+        self._push(now + pause_s, self._enter, request)
+
+    def _note_waited(self, run: _Run, waited_s: float) -> None:
+        if run.parent is not None:
+            run.parent.ticket.calls_waited_s += waited_s
+
+    def _meet(self, run: _Run, level: int) -> None:
+        if run.parent is not None:
+            run.parent.path_level = max(run.parent.path_level, level)
+
+
+def simulate(tree: trees.Tree, seed: int) -> trees.Tally:
+    """Runs a tree.
+
+    Args:
+        tree: What is simulated.
+        seed: Seed of all random draws.
+    """
+    return _Simulation(tree, seed).run()
--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -185,6 +185,8 @@
             return
         self._handle = None
         self._sends.note(candidate, result)
+        if self._parent is not None:
+            self._parent.note_waited(result.waited_s)
         self._meet_level(
             max(result.level, result.path_level, self._sends.lost_level(now))
         )
@@ -211,8 +213,6 @@
         if good or not result.path_level:
             # Otherwise the failure lies below the upstream.
             self._learn(attempt, good, now)
-        if good and self._parent is not None:
-            self._parent.has_progress = True
         if not good:
             self._may_have_run = True
             # At its time limit the upstream says so itself.
@@ -297,6 +297,9 @@
             outcome = errors.Outcome.UNKNOWN
         self._end()
         now = self._loop.time()
+        if self._parent is not None and reason in _OVERLOADED:
+            # The run is lost, so it counts as if it had waited to its end.
+            self._parent.note_waited(max(0.0, self.run.deadline - now))
         retry_after_s = self._services.retry_after(
             self.run.deadline - now, self.run.goal_by - now
         )
--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -168,7 +168,7 @@
         if parent is not None:
             parent.note_call()
             run.repeated = parent.run.repeated
-            run.begun = parent.has_progress
+            run.nested = True
         end = self._refuses_after
         if end is not None and parent is None and run.deadline > end:
             left_s = max(0.0, end - request.received_at)
@@ -250,7 +250,12 @@
         """Level of a request; a call has that of the request it is made for."""
         if parent is not None:
             return levels.nested(parent.run.level)
-        return self._fresh_level(route, attempt_id)
+        level = self._fresh_level(route, attempt_id)
+        if self._services.makes_calls.get(route.name, True):
+            return level
+        # At the service that runs it, it costs no more than a call. Behind all
+        # calls of chains with the same importance it would hardly be run.
+        return levels.nested(level)
 
     def _fresh_level(
         self, route: routes_module.Route, attempt_id: bytes
--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -1,5 +1,6 @@
 """One request on its way to the local upstream."""
 
+import asyncio
 import collections.abc
 import typing
 
@@ -25,7 +26,6 @@
         "_path_level",
         "_report",
         "buffered",
-        "has_progress",
         "holds_slot",
         "run",
         "ticket",
@@ -46,10 +46,8 @@
         self._made_calls = False
         self.run = run
         self.ticket = waiting.Ticket(
-            run.level, run.deadline, run.goal_by, self, run.begun
+            run.level, run.deadline, run.goal_by, self, run.nested
         )
-        # Whether a call of the chain was answered.
-        self.has_progress = run.begun
         self.holds_slot = False
         self.was_sent = False
         # Bytes that are held for the body.
@@ -63,6 +61,7 @@
                 self._owner.release(self)
             result.path_level = self._path_level
             result.made_calls = self._made_calls
+            result.waited_s = self._waited_s()
             self._report(result)
 
     def note_call(self) -> None:
@@ -73,6 +72,14 @@
         """Notes an admission level that a call of this run has met."""
         self._path_level = max(self._path_level, level)
 
+    def note_waited(self, waited_s: float) -> None:
+        """Notes how long a call of this run has waited.
+
+        Args:
+            waited_s: Wait for slots, in seconds.
+        """
+        self.ticket.calls_waited_s += waited_s
+
     def cancel(self) -> None:
         """Ends the run.
 
@@ -131,6 +138,15 @@
         self.finish(result)
         self._owner.ended(self, good=True, broken=False)
 
+    def _waited_s(self) -> float:
+        """How long the run and its calls have waited, in seconds."""
+        ticket = self.ticket
+        if not ticket.offered_at:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        until = ticket.started_at if self.holds_slot else now
+        return until - ticket.offered_at + ticket.calls_waited_s
+
     def broken(
         self,
         connection: connection_module.UpstreamConnection,
--- a/medlardoor/mesh/runs.py
+++ b/medlardoor/mesh/runs.py
@@ -26,8 +26,8 @@
         idempotent: Whether it may run more than once.
         repeated: Whether this or a run above it is a repeat, so that its calls
             count as repeats.
-        begun: Whether a call of the same chain was answered before, so that
-            work would be lost with this one.
+        nested: Whether a run in progress makes the request, so that work would
+            be lost with it.
     """
 
     service: str
@@ -41,7 +41,7 @@
     level: int
     idempotent: bool
     repeated: bool = False
-    begun: bool = False
+    nested: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -60,6 +60,7 @@
         level: Admission level of the upstream's node.
         path_level: Highest admission level that the calls of this run met.
         made_calls: Whether the run has made calls of its own.
+        waited_s: How long it and its calls have waited for slots, in seconds.
     """
 
     outcome: errors.Outcome
@@ -73,6 +74,7 @@
     level: int = 0
     path_level: int = 0
     made_calls: bool = False
+    waited_s: float = 0.0
 
 
 class RunHandle(abc.ABC):
--- a/medlardoor/mesh/statuses.py
+++ b/medlardoor/mesh/statuses.py
@@ -47,7 +47,7 @@
         idempotent=run.idempotent,
         service_name=run.service,
         repeated=run.repeated,
-        begun=run.begun,
+        nested=run.nested,
     )
 
 
@@ -70,7 +70,7 @@
         level=call.level or 0,
         idempotent=bool(call.idempotent),
         repeated=bool(call.repeated),
-        begun=bool(call.begun),
+        nested=bool(call.nested),
     )
 
 
@@ -93,6 +93,7 @@
         level=result.level,
         path_level=result.path_level,
         made_calls=result.made_calls,
+        waited_ms=int(result.waited_s * 1_000),
     )
     if result.reason is not None:
         answer.reason = result.reason.value
@@ -117,6 +118,7 @@
         level=answer.level or 0,
         path_level=answer.path_level or 0,
         made_calls=bool(answer.made_calls),
+        waited_s=max(0, answer.waited_ms or 0) / 1_000,
     )
 
 
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -134,7 +134,7 @@
   10: bool idempotent,
   11: string service_name,
   12: bool repeated,           // The run, or one above it, is a repeat.
-  13: bool begun,              // A call of the same chain was answered before.
+  13: bool nested,             // A run in progress makes the call.
 }
 
 struct RunAnswer {
@@ -151,6 +151,7 @@
   12: i32 path_level,          // Highest level that refused or may refuse
                                // calls of this run.
   13: bool made_calls,         // The run has made calls of its own.
+  14: i32 waited_ms,           // Wait for slots of the run and of its calls.
 }
 
 struct RunCancel { 1: i32 id }
