Let calls wait as long as the objective allows; rank requests by cost

A request without calls ranked as a call there although one stock-check takes 0.24 s of a slot and a lookup 0.06 s in all. A chain of 0.3 s was bounded when its calls waited for 0.03 s, though its objective is 1.2 s.

Change: calls may wait for a tenth of the time of a chain or for 15 % of what it could lose without missing its objective. Answers carry the time of slots that was spent at the end of the chain, and a request without calls ranks as a call only if it costs less than the chains of its priority (routing/costs). Bounds on chains are logged when they begin and end, and are a metric.

--- a/medlardoor/admission/tests/test_windows.py
+++ b/medlardoor/admission/tests/test_windows.py
@@ -18,7 +18,8 @@
         in_progress = started
         now = begin + second + CHAIN_S
         for _ in range(started):
-            window.ended(CHAIN_S, share(started) * CHAIN_S, SLOTS, now)
+            waited_s = share(started) * CHAIN_S
+            window.ended(CHAIN_S, waited_s, CHAIN_S, SLOTS, now)
     return in_progress
 
 
@@ -37,6 +38,19 @@
     assert 8 <= kept <= 13
 
 
+def test_chains_far_from_their_objective_may_wait():
+    """Orders are refused for waits that do not matter to their callers."""
+    window = windows.ChainWindow()
+    for n in range(20):
+        window.started()
+        window.ended(0.3, 0.08, 1.2, SLOTS, float(n))
+    assert window.size is None
+    for n in range(20, 40):
+        window.started()
+        window.ended(0.3, 0.2, 1.2, SLOTS, float(n))
+    assert window.size is not None
+
+
 def test_keeps_one_chain_when_all_calls_wait():
     """A node that starts no chain never learns that there is room again."""
     window = windows.ChainWindow()
@@ -61,7 +75,7 @@
     urgent = 4 * levels.LEVELS_PER_RANK
     chains = []
     for _ in range(20):
-        chains.append(waiting.Ticket(urgent, 10.0, 5.0))
+        chains.append(waiting.Ticket(urgent, 10.0, CHAIN_S))
         room.offer(chains[-1], 0.0)
     for chain in chains:
         chain.calls_waited_s = 0.9
--- a/medlardoor/admission/waiting.py
+++ b/medlardoor/admission/waiting.py
@@ -142,6 +142,15 @@
         """Admission level: requests below it are refused."""
         return self._level.value
 
+    @property
+    def bounds(self) -> dict[int, float]:
+        """Chains that may be in progress, by rank, where they are bounded."""
+        return {
+            rank: window.size
+            for rank, window in self._windows.items()
+            if window.size is not None and not levels.is_nested(rank)
+        }
+
     def set_slots(self, slots: int) -> None:
         """Sets the limit from the slots of the upstream."""
         if slots <= 0:
@@ -190,6 +199,7 @@
             self._windows[ticket.rank].ended(
                 now - ticket.started_at,
                 ticket.calls_waited_s,
+                ticket.goal_by - ticket.started_at,
                 self._limit,
                 now,
             )
@@ -308,7 +318,9 @@
 
     def _is_free(self, ticket: Ticket) -> bool:
         """Whether there is a slot that a request may take."""
-        return self._running < self._limit and not self._is_bounded(ticket)
+        if self._running >= self._limit:
+            return False
+        return ticket.nested or self._may_start(ticket.rank)
 
     def _patience(self, ticket: Ticket, now: float) -> float:
         settings = self._settings
--- a/medlardoor/bench/chains.py
+++ b/medlardoor/bench/chains.py
@@ -155,7 +155,7 @@
         origin = self._generator.choice(list(self._instances.values()))
         kind = request.kind
         level = levels.fresh(kind.importance, self._generator.randbytes(8))
-        if not kind.calls:
+        if not kind.calls and self._is_cheap(kind):
             level = levels.nested(level)
         run = _Run(
             request,
@@ -172,6 +172,20 @@
             return
         self._send(run, now)
 
+    def _is_cheap(self, kind: trees.Kind) -> bool:
+        """What the entries learn of the costs of a kind without calls."""
+        return all(
+            kind.work_s <= self._leaf_s(other)
+            for other in self._tree.kinds.values()
+            if other.calls and other.importance == kind.importance
+        )
+
+    def _leaf_s(self, kind: trees.Kind) -> float:
+        if not kind.calls:
+            return kind.work_s
+        calls = [self._tree.kinds[name] for name in kind.calls]
+        return sum(self._leaf_s(call) for call in calls)
+
     def _send(self, run: _Run, now: float) -> None:
         found = run.origin.candidates[run.kind.service]
         if run.tried:
--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -187,6 +187,7 @@
         self._sends.note(candidate, result)
         if self._parent is not None:
             self._parent.note_waited(result.waited_s)
+            self._parent.note_leaf(result.leaf_s)
         self._meet_level(
             max(result.level, result.path_level, self._sends.lost_level(now))
         )
--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -251,11 +251,10 @@
         if parent is not None:
             return levels.nested(parent.run.level)
         level = self._fresh_level(route, attempt_id)
-        if self._services.makes_calls.get(route.name, True):
-            return level
-        # At the service that runs it, it costs no more than a call. Behind all
-        # calls of chains with the same importance it would hardly be run.
-        return levels.nested(level)
+        if self._services.costs.is_cheap(route.name):
+            # Behind all calls of chains it would hardly be run.
+            return levels.nested(level)
+        return level
 
     def _fresh_level(
         self, route: routes_module.Route, attempt_id: bytes
--- a/medlardoor/mesh/http_messages.py
+++ b/medlardoor/mesh/http_messages.py
@@ -10,6 +10,7 @@
     "encode_request",
     "keep_alive_s",
     "phrase",
+    "slots_of",
 ]
 
 
@@ -51,3 +52,16 @@
         if name.lower() == b"timeout" and number.isdigit():
             return float(number)
     return None
+
+
+def slots_of(load: bytes) -> int:
+    """Slots in an upstream's report of its load; 0 if it is not valid.
+
+    Args:
+        load: Running requests, waiting requests and slots, with commas.
+    """
+    try:
+        _, _, slots = (int(part) for part in load.split(b","))
+    except ValueError:
+        return 0
+    return slots
--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "_connection",
         "_is_cancelled",
+        "_leaf_s",
         "_made_calls",
         "_owner",
         "_path_level",
@@ -44,6 +45,7 @@
         self._is_cancelled = False
         self._path_level = 0
         self._made_calls = False
+        self._leaf_s = 0.0
         self.run = run
         self.ticket = waiting.Ticket(
             run.level, run.deadline, run.goal_by, self, run.nested
@@ -61,7 +63,11 @@
                 self._owner.release(self)
             result.path_level = self._path_level
             result.made_calls = self._made_calls
-            result.waited_s = self._waited_s()
+            now = asyncio.get_running_loop().time()
+            result.waited_s = self._waited_s(now)
+            result.leaf_s = self._leaf_s
+            if self.holds_slot and not self._made_calls:
+                result.leaf_s = now - self.ticket.started_at
             self._report(result)
 
     def note_call(self) -> None:
@@ -80,6 +86,14 @@
         """
         self.ticket.calls_waited_s += waited_s
 
+    def note_leaf(self, leaf_s: float) -> None:
+        """Notes what a call of this run took at the end of the chain.
+
+        Args:
+            leaf_s: Time of slots, in seconds.
+        """
+        self._leaf_s += leaf_s
+
     def cancel(self) -> None:
         """Ends the run.
 
@@ -138,12 +152,11 @@
         self.finish(result)
         self._owner.ended(self, good=True, broken=False)
 
-    def _waited_s(self) -> float:
+    def _waited_s(self, now: float) -> float:
         """How long the run and its calls have waited, in seconds."""
         ticket = self.ticket
         if not ticket.offered_at:
             return 0.0
-        now = asyncio.get_running_loop().time()
         until = ticket.started_at if self.holds_slot else now
         return until - ticket.offered_at + ticket.calls_waited_s
 
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -11,6 +11,7 @@
 from medlardoor.admission import waiting
 from medlardoor.membership import announcements
 from medlardoor.mesh import (
+    chain_bounds,
     crashes,
     http_messages,
     local_run,
@@ -66,6 +67,7 @@
         self._buffers = buffers
         self._loop = asyncio.get_running_loop()
         self._room = waiting.WaitingRoom(settings.waiting)
+        self._bounds = chain_bounds.ChainBoundLog()
         self._pool = upstream_pool.UpstreamPool(
             settings.connections,
             settings.upstream,
@@ -165,6 +167,7 @@
         self._pool.sweep(now)
         self._crashes.tick(now)
         self._room.tick(now)
+        self._bounds.note(self._room.bounds)
         self._end_overdue(now)
         self.pump()
         silent = now - self._heard_at > SILENT_S
@@ -313,7 +316,10 @@
     ) -> runs.RunResult:
         """Judges an answer of the upstream."""
         names = self._headers
-        self._read_load(answer.header(names.load.lower()))
+        load = answer.header(names.load.lower())
+        slots = http_messages.slots_of(load) if load is not None else 0
+        if slots > 0:
+            self._room.set_slots(slots)
         room = self._room
         result = runs.RunResult(
             errors.Outcome.ANSWERED,
@@ -362,16 +368,6 @@
         result.offered = False
         return result
 
-    def _read_load(self, value: bytes | None) -> None:
-        if value is None:
-            return
-        try:
-            _, _, slots = (int(part) for part in value.split(b","))
-        except ValueError:
-            return
-        if slots > 0:
-            self._room.set_slots(slots)
-
     def _set_down(self, detail: str) -> None:
         now = self._loop.time()
         if not self._is_down:
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -363,6 +363,9 @@
             "upstream_connections_total": self._local.connections_opened,
         }
         lines = [f"medlardoor_{name} {value}" for name, value in gauges.items()]
+        for rank, most in room.bounds.items():
+            label = f'{{rank="{rank}"}}'
+            lines.append(f"medlardoor_chains_most{label} {most:.1f}")
         for reason, count in self._local.breaks.items():
             label = f'{{reason="{reason.value}"}}'
             lines.append(f"medlardoor_upstream_breaks_total{label} {count}")
--- a/medlardoor/mesh/runs.py
+++ b/medlardoor/mesh/runs.py
@@ -61,6 +61,8 @@
         path_level: Highest admission level that the calls of this run met.
         made_calls: Whether the run has made calls of its own.
         waited_s: How long it and its calls have waited for slots, in seconds.
+        leaf_s: Time of slots that it took at the end of its chain: that of all
+            its calls without calls of their own, or its own without any.
     """
 
     outcome: errors.Outcome
@@ -75,6 +77,7 @@
     path_level: int = 0
     made_calls: bool = False
     waited_s: float = 0.0
+    leaf_s: float = 0.0
 
 
 class RunHandle(abc.ABC):
--- a/medlardoor/mesh/sends.py
+++ b/medlardoor/mesh/sends.py
@@ -8,6 +8,7 @@
 from medlardoor.mesh import fleet as fleet_module
 from medlardoor.mesh import recording, refusals, runs
 from medlardoor.retries import shares
+from medlardoor.routing import costs as costs_module
 from medlardoor.routing import path as path_module
 from medlardoor.routing import placement as placement_module
 
@@ -31,8 +32,7 @@
         recorder: Counts and logs what happens.
         paths: Admission levels below the routes.
         top_level: Returns the level above those of all requests.
-        makes_calls: Whether the runs of a route make calls, by its name; not
-            known before the first answer.
+        costs: What the requests of each route cost.
         in_progress: Calls without an answer.
     """
 
@@ -43,7 +43,9 @@
     recorder: recording.Recorder
     paths: path_module.PathController
     top_level: collections.abc.Callable[[], int]
-    makes_calls: dict[str, bool] = dataclasses.field(default_factory=dict)
+    costs: costs_module.RouteCosts = dataclasses.field(
+        default_factory=costs_module.RouteCosts
+    )
     in_progress: int = 0
 
 
@@ -103,12 +105,13 @@
             self._offered_to.add(candidate.instance)
         if result.outcome is not errors.Outcome.NOT_RUN:
             self._runs += 1
-        if result.outcome is errors.Outcome.ANSWERED:
-            known = self._services.makes_calls
-            name = self._route.name
-            good = result.status < refusals.SERVER_ERROR
-            if result.made_calls or (good and name not in known):
-                known[name] = result.made_calls
+        if result.outcome is errors.Outcome.ANSWERED and (
+            result.made_calls or result.status < refusals.SERVER_ERROR
+        ):
+            route = self._route
+            self._services.costs.note(
+                route.name, route.priority, result.made_calls, result.leaf_s
+            )
 
     def candidates(self) -> list[placement_module.Candidate]:
         """Upstreams that the request may be sent to next."""
@@ -143,7 +146,7 @@
         if self._runs >= self._route.max_attempts or now >= self._run.deadline:
             return False
         services = self._services
-        makes_calls = services.makes_calls.get(self._route.name, True)
+        makes_calls = services.costs.makes_calls(self._route.name)
         taken = services.share(self._run.service).try_repeat(
             services.fleet.size,
             now,
--- /dev/null
+++ b/medlardoor/mesh/tests/test_chains.py
@@ -0,0 +1,76 @@
+"""Tests of chains of calls through nodes: their wait and their rank."""
+
+import asyncio
+
+import pytest
+
+from medlardoor import errors
+from medlardoor.admission import levels
+from medlardoor.mesh import http_messages, runs, statuses
+from medlardoor.mesh.tests import group as group_module
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_wait_of_calls_bounds_chains(group):
+    """Chains go on being started though their calls wait for slots."""
+    entry, order = group.members["s1"], group.members["o1"]
+    order.upstream.delay_s = 0.5
+    for name in ("s1", "s2"):
+        member = group.members[name]
+        room = member.node._local.room
+        room.set_slots(1)
+        room.set_slots = lambda slots: None
+        member.upstream.delay_s = 0.1
+    parents = [
+        asyncio.create_task(entry.call("/order/1", f"p{n}", "POST"))
+        for n in range(6)
+    ]
+    await group_module.wait_until(lambda: len(order.upstream.runs) == 6)
+    calls = [order.call("/read/1", f"p{n}.a") for n in range(6)]
+    await asyncio.gather(*calls)
+    await asyncio.gather(*parents)
+    # The window is adapted in the time of a chain after the first one.
+    await asyncio.sleep(0.1)
+    await entry.call("/order/1", "q", "POST")
+    bounds = order.node._local.room.bounds
+    assert len(bounds) == 1
+    assert next(iter(bounds.values())) < 6
+    status, text = order.node._render_metrics()
+    assert status == 200
+    assert "medlardoor_chains_most{rank=" in text
+
+
+async def test_request_without_calls_ranks_as_a_call(group):
+    """Calls of chains of the same importance take all the room."""
+    member = group.members["o1"]
+    stock = [group.members["s1"].node._local, group.members["s2"].node._local]
+    seen = []
+    for local in stock:
+        offer = local.room.offer
+        local.room.offer = lambda ticket, now, offer=offer: (
+            seen.append(ticket),
+            offer(ticket, now),
+        )[1]
+    for n in range(2):
+        assert (await member.call("/read/1", f"a{n}")).status == 200
+    first, second = seen
+    assert not levels.is_nested(first.rank)
+    assert levels.is_nested(second.rank)
+    assert not second.nested
+
+
+def test_wait_travels_with_an_answer():
+    """The node at which a chain starts does not learn that its calls wait."""
+    result = runs.RunResult(errors.Outcome.ANSWERED, waited_s=0.25)
+    answer = statuses.to_answer(1, result)
+    assert statuses.to_result(answer).waited_s == 0.25
+    answer.waited_ms = -5
+    assert statuses.to_result(answer).waited_s == 0.0
+
+
+@pytest.mark.parametrize("load", [b"", b"1,2", b"a,b,c", b"1,2,3,4", b"1,,8"])
+def test_invalid_load_has_no_slots(load):
+    """A malformed report of an upstream's load ends its connection."""
+    assert http_messages.slots_of(load) == 0
+    assert http_messages.slots_of(b"3,0,8") == 8
--- /dev/null
+++ b/medlardoor/routing/tests/test_costs.py
@@ -0,0 +1,44 @@
+"""Tests of the costs of routes."""
+
+from medlardoor.routing import costs
+
+
+def _learn(learned, name, made_calls, leaf_s, priority=2):
+    for _ in range(20):
+        learned.note(name, priority, made_calls, leaf_s)
+
+
+def test_cheap_request_goes_with_calls():
+    """A request that costs less than a chain waits behind all its calls."""
+    learned = costs.RouteCosts()
+    _learn(learned, "lookup", True, 0.44)
+    _learn(learned, "close", False, 0.18)
+    assert learned.is_cheap("close")
+    assert not learned.is_cheap("lookup")
+
+
+def test_dear_request_does_not():
+    """One request takes the room of four chains as important as itself."""
+    learned = costs.RouteCosts()
+    _learn(learned, "lookup", True, 0.06)
+    _learn(learned, "check", False, 0.24)
+    assert not learned.is_cheap("check")
+
+
+def test_other_priorities_do_not_count():
+    """A request is compared with chains that are more urgent anyway."""
+    learned = costs.RouteCosts()
+    _learn(learned, "order", True, 0.06, priority=0)
+    _learn(learned, "check", False, 0.24)
+    assert learned.is_cheap("check")
+
+
+def test_unknown_route_may_make_calls():
+    """A chain that was not answered yet passes for a request without calls."""
+    learned = costs.RouteCosts()
+    assert learned.makes_calls("new")
+    assert not learned.is_cheap("new")
+    learned.note("new", 2, False, 0.1)
+    assert not learned.makes_calls("new")
+    learned.note("new", 2, True, 0.1)
+    assert learned.makes_calls("new")
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -152,6 +152,7 @@
                                // calls of this run.
   13: bool made_calls,         // The run has made calls of its own.
   14: i32 waited_ms,           // Wait for slots of the run and of its calls.
+  15: i32 leaf_ms,             // Slot time at the end of the chain.
 }
 
 struct RunCancel { 1: i32 id }
