Leave a failure domain only for a much sooner answer

The preference for near upstreams is a fixed time, so it counts less while all upstreams of a service are busy, and queues that differ by chance send calls away and back.

Ruled out: a larger fixed time, which would keep calls at a slow upstream of a service with short calls when others are idle.

Change: an upstream elsewhere must be expected to answer 1.6 times sooner, after the fixed time.

--- a/medlardoor/routing/placement.py
+++ b/medlardoor/routing/placement.py
@@ -30,6 +30,11 @@
 # requests have to wait.
 IDLE_GROWTH = 0.2
 
+# An upstream in another failure domain is chosen if it is expected to answer so
+# many times sooner. While all upstreams of a service are busy, their queues
+# differ by chance, and leaving the failure domain for that gains nothing.
+REMOTE_FACTOR = 1.6
+
 # The part of the expected time that changes slowly is computed anew after
 # this time, in seconds.
 EXPECTATION_AGE_S = 0.02
@@ -229,6 +234,8 @@
         over = share - self._settings.busy_share
         if over > 0:
             expected *= 1 + self._busy_growth * over
+        if candidate.distance_s:
+            expected *= REMOTE_FACTOR
         expected += candidate.distance_s
         return expected * (NOISE_LOW + NOISE * self._generator.random())
 
--- a/medlardoor/routing/tests/test_placement.py
+++ b/medlardoor/routing/tests/test_placement.py
@@ -134,3 +134,35 @@
         else:
             complete += 1
     assert complete / chains > 0.9
+
+
+def _share_of_remote(draws, near_run_s):
+    """Share of calls of 15 ms that leave the failure domain under overload.
+
+    Replays derwent-wheels scale-1: all upstreams of the last service are busy,
+    with queues that differ by chance.
+    """
+    generator = random.Random(3)
+    chooser = placement.Placement(SETTINGS, generator)
+    near = _candidate("near", run_s=near_run_s, limit=45)
+    remote = [
+        _candidate(f"remote{n}", domain, run_s=0.015, limit=45)
+        for n, domain in enumerate("bc")
+    ]
+    left = 0
+    for _ in range(draws):
+        for candidate in (near, *remote):
+            candidate.reported_busy = generator.randrange(45, 75)
+        chosen = chooser.choose([near, *remote], 0, 0.0)
+        left += chosen is not near
+    return left / draws
+
+
+def test_busy_service_is_called_nearby():
+    """Calls cross failure domains though nothing is gained there."""
+    assert _share_of_remote(1_000, near_run_s=0.015) < 0.25
+
+
+def test_slow_upstream_nearby_is_left_when_busy():
+    """Calls queue at a slow upstream while a faster one is as busy."""
+    assert _share_of_remote(1_000, near_run_s=0.06) > 0.75
