Authenticate callers by keys and rank requests by team

Cause: a document may list teams with keys and priorities.

Change: teams/keys looks a key up by a keyed digest; mesh/credentials refuses unknown, missing and malformed credentials with 401, except on public routes. The node sets the team header and drops the caller's. Documents pass between nodes with digests in place of keys. teams/importance orders requests: the most urgent routes first, then by team, then by route, so that orders are still refused last.

Ruled out: a literal override of the route's priority by the team's.

--- a/medlardoor/config/routes.py
+++ b/medlardoor/config/routes.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+from medlardoor.teams import importance, keys
+
 __all__ = [
     "ConnectionLimits",
     "Destination",
@@ -41,6 +43,7 @@
         priority: Rank of the requests; 0 is the most urgent.
         max_attempts: Maximum number of upstreams that a request is sent to.
         destinations: Services that share the requests; at least one.
+        is_public: Whether callers need no key.
     """
 
     name: str
@@ -52,6 +55,7 @@
     priority: int
     max_attempts: int
     destinations: tuple[Destination, ...]
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,6 +101,7 @@
         limits: Limits of connections from callers.
         unknown_kinds: Kinds of routes that the decoder does not support; their
             requests are treated as not idempotent.
+        teams: All teams; None if callers need no keys.
     """
 
     version: int
@@ -104,6 +109,7 @@
     services: dict[str, ServiceEntry]
     limits: ConnectionLimits
     unknown_kinds: tuple[str, ...] = ()
+    teams: tuple[keys.Team, ...] | None = None
 
 
 class RouteTable:
@@ -123,14 +129,39 @@
         for route in document.routes:
             prefixes = self._hosts.setdefault(route.host, {})
             prefixes[route.path_prefix] = route
-        self._least_urgent_priority = max(
-            (route.priority for route in document.routes), default=0
+        self._keys = keys.KeyTable(document.teams or ())
+        self._importance = importance.ImportanceScale(
+            [
+                route.priority
+                for route in document.routes
+                if not (route.is_public and document.teams)
+            ],
+            [team.priority for team in document.teams or ()],
         )
 
     @property
-    def least_urgent_priority(self) -> int:
-        """Largest priority value of all routes; 0 without routes."""
-        return self._least_urgent_priority
+    def has_teams(self) -> bool:
+        """Whether callers need keys."""
+        return self._document.teams is not None
+
+    @property
+    def max_importance(self) -> int:
+        """Importance of the most urgent requests; 0 without routes."""
+        return self._importance.max_importance
+
+    def importance_of(self, route: Route, team: keys.Team | None) -> int:
+        """Importance of the requests of a team on a route.
+
+        Args:
+            route: The route.
+            team: The team; None if it is unknown.
+        """
+        priority = None if team is None else team.priority
+        return self._importance.importance_of(route.priority, priority)
+
+    def find_team(self, key: bytes) -> keys.Team | None:
+        """Returns the team that holds a key, if any."""
+        return self._keys.find(key)
 
     @property
     def document(self) -> RouteDocument:
--- a/medlardoor/config/tests/test_routes.py
+++ b/medlardoor/config/tests/test_routes.py
@@ -53,4 +53,4 @@
 def test_least_urgent_priority():
     """The largest priority value must be reported as least urgent."""
     table = _table(_route(b"/a/", priority=2), _route(b"/b/", priority=0))
-    assert table.least_urgent_priority == 2
+    assert table.max_importance == 2
--- a/medlardoor/errors.py
+++ b/medlardoor/errors.py
@@ -54,6 +54,9 @@
     UNKNOWN_SERVICE = "unknown_service"
     INVALID_REQUEST = "invalid_request"
     BUFFERS_FULL = "buffers_full"
+    CREDENTIALS_MISSING = "credentials_missing"
+    CREDENTIALS_INVALID = "credentials_invalid"
+    RATE_LIMITED = "rate_limited"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -7,6 +7,7 @@
 from medlardoor.config import routes as routes_module
 from medlardoor.mesh import (
     calls,
+    credentials,
     documents,
     handlers,
     http_messages,
@@ -23,6 +24,7 @@
 from medlardoor.routing import path as path_module
 from medlardoor.routing import placement as placement_module
 from medlardoor.routing import splits
+from medlardoor.teams import keys
 
 __all__ = ["Dispatcher"]
 
@@ -86,7 +88,13 @@
             names.deadline_ms.lower(),
             names.expected_upstream.lower(),
             names.caller_service.lower(),
+            names.team.lower(),
         }
+        # Callers' keys are not sent to upstreams.
+        self._dropped_headers_with_keys = self._dropped_headers | {
+            names.credentials.lower()
+        }
+        self._credentials = credentials.CredentialChecker(names)
         self._caller_header_line = b"%b: %b\r\n" % (
             names.caller_service,
             settings.service.encode(),
@@ -132,7 +140,7 @@
     def body_level(self, host: bytes, target: bytes) -> int:
         """Admission level of a request; see `RequestHandler`."""
         route = self._find_route(host, target)
-        return 0 if route is None else self._entry_level(route, b"")
+        return 0 if route is None else self._entry_level(route, None, b"")
 
     def refuse_body(self, host: bytes, target: bytes) -> handlers.Response:
         """Refuses a request without its body; see `RequestHandler`."""
@@ -164,13 +172,23 @@
             return None
         attempt_id = request.header(self._attempt_header)
         parent = self._find_parent(attempt_id)
+        team = None
+        if parent is None:
+            checked = self._credentials.check(request, attempt_id, route, table)
+            if checked.is_err():
+                self._reject(request, checked.err_value, reply)
+                return None
+            team = checked.ok_value
         run = self._make_run(
-            request, route, self._request_level(route, attempt_id, parent)
+            request, route, self._request_level(route, team, attempt_id, parent)
         )
         if parent is not None:
             parent.record_nested_call()
             run.repeated = parent.run.repeated
             run.nested = True
+            run.team = parent.run.team
+        elif team is not None:
+            run.team = team.name.encode()
         ends_at = self._process_ends_at
         if ends_at is not None and parent is None and run.deadline > ends_at:
             remaining_s = max(0.0, ends_at - request.received_at)
@@ -203,13 +221,16 @@
         retry_after_s = unavailable_s + self._draw_short_retry_after_s()
         reply(
             refusals.refusal_response(
-                errors.Outcome.NOT_RUN, reason, retry_after_s
+                errors.Outcome.NOT_RUN,
+                reason,
+                retry_after_s,
+                self._settings.headers.credential_scheme,
             )
         )
 
     def _level_upper_bound(self) -> int:
         """Returns the lowest level above those of all requests and calls."""
-        return levels.level_above(self._holder.table.least_urgent_priority)
+        return levels.level_above(self._holder.table.max_importance)
 
     def _draw_short_retry_after_s(self) -> float:
         """Returns a short randomized Retry-After time, in seconds."""
@@ -255,6 +276,7 @@
     def _request_level(
         self,
         route: routes_module.Route,
+        team: keys.Team | None,
         attempt_id: bytes,
         parent: local_run.LocalRun | None,
     ) -> int:
@@ -265,7 +287,7 @@
         """
         if parent is not None:
             return levels.nested_level(parent.run.level)
-        level = self._entry_level(route, attempt_id)
+        level = self._entry_level(route, team, attempt_id)
         if self._shared.costs.is_cheap(route.name):
             # At entry level, the request would rank below all calls made by
             # runs and would hardly ever run.
@@ -273,10 +295,12 @@
         return level
 
     def _entry_level(
-        self, route: routes_module.Route, attempt_id: bytes
+        self,
+        route: routes_module.Route,
+        team: keys.Team | None,
+        attempt_id: bytes,
     ) -> int:
-        least_urgent = self._holder.table.least_urgent_priority
-        importance = max(0, least_urgent - route.priority)
+        importance = self._holder.table.importance_of(route, team)
         return levels.entry_level(importance, attempt_id)
 
     def _make_run(
@@ -290,6 +314,8 @@
         attempt_id = b""
         lines = [b"host: ", request.host, b"\r\n", self._caller_header_line]
         dropped_headers = self._dropped_headers
+        if self._holder.table.has_teams:
+            dropped_headers = self._dropped_headers_with_keys
         for name, value in request.headers:
             if name == self._attempt_header:
                 attempt_id = value
--- a/medlardoor/mesh/documents.py
+++ b/medlardoor/mesh/documents.py
@@ -49,6 +49,14 @@
             The document, or the reason why it is invalid.
         """
 
+    def without_secrets(self, value: bytes) -> bytes:
+        """Returns a valid document in a form that may be sent to other nodes.
+
+        Args:
+            value: Value of the stored object. By default it has no secrets.
+        """
+        return value
+
 
 class DocumentHolder:
     """Holds the document in force.
@@ -80,7 +88,7 @@
 
     @property
     def value(self) -> bytes:
-        """Value of the stored object in force."""
+        """Value in force, in a form that may be sent to other nodes."""
         return self._value
 
     @property
@@ -122,7 +130,7 @@
         document = decoded.ok_value
         self._table = routes_module.RouteTable(document)
         self._revision = revision
-        self._value = value
+        self._value = self._decoder.without_secrets(value)
         logs.log_event(
             _LOG,
             logbook.INFO,
@@ -130,6 +138,7 @@
             revision=revision,
             version=document.version,
             routes=len(document.routes),
+            teams=len(document.teams or ()),
             source=source,
         )
         if document.unknown_kinds:
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -230,14 +230,16 @@
         if left_ms <= 0:
             return None
         names = self._headers
+        lines = run.headers + b"%b: %d\r\n%b: %b\r\n" % (
+            names.deadline_ms,
+            left_ms,
+            names.expected_upstream,
+            current.upstream_id.encode(),
+        )
+        if run.team:
+            lines += b"%b: %b\r\n" % (names.team, run.team)
         return http_messages.encode_request(
-            run.method,
-            run.target,
-            run.headers
-            + b"%b: %d\r\n" % (names.deadline_ms, left_ms)
-            + b"%b: %b\r\n"
-            % (names.expected_upstream, current.upstream_id.encode()),
-            run.body,
+            run.method, run.target, lines, run.body
         )
 
     def release_buffers(self, handle: local_run.LocalRun) -> None:
--- a/medlardoor/mesh/runs.py
+++ b/medlardoor/mesh/runs.py
@@ -30,6 +30,8 @@
             calls count as retries then.
         nested: Whether a run in progress made the request. The work of that run
             is lost if the request fails.
+        team: Name of the team whose caller's request the chain serves; empty if
+            it is unknown.
     """
 
     service: str
@@ -44,6 +46,7 @@
     idempotent: bool
     repeated: bool = False
     nested: bool = False
+    team: bytes = b""
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -38,6 +38,9 @@
         load: Running requests, waiting requests and slots of the upstream.
         not_run: Set by an upstream that did not run the request.
         caller_service: Service that sends the request.
+        team: Team of the caller whose request the chain serves.
+        credentials: Key of the caller; not sent to upstreams.
+        credential_scheme: Authentication scheme that precedes the key.
         call_separator: Separates the attempt identifier of a request from the
             suffix that the upstream appends for each of its own calls. A call
             without such an identifier is treated as an independent request.
@@ -50,6 +53,9 @@
     load: bytes
     not_run: bytes
     caller_service: bytes
+    team: bytes
+    credentials: bytes = b"Authorization"
+    credential_scheme: bytes = b"Bearer"
     call_separator: bytes = b"."
 
 
--- a/medlardoor/mesh/statuses.py
+++ b/medlardoor/mesh/statuses.py
@@ -48,6 +48,7 @@
         service_name=run.service,
         repeated=run.repeated,
         nested=run.nested,
+        team=run.team or None,
     )
 
 
@@ -71,6 +72,7 @@
         idempotent=bool(call.idempotent),
         repeated=bool(call.repeated),
         nested=bool(call.nested),
+        team=call.team or b"",
     )
 
 
--- a/medlardoor/mesh/tests/group.py
+++ b/medlardoor/mesh/tests/group.py
@@ -21,6 +21,7 @@
     settings,
 )
 from medlardoor.store import memory
+from medlardoor.teams import keys
 
 HEADERS = settings.HeaderNames(
     attempt_id=b"X-Attempt",
@@ -30,6 +31,7 @@
     load=b"X-Load",
     not_run=b"X-Not-Run",
     caller_service=b"X-Caller",
+    team=b"X-Team",
 )
 DOCUMENT_KEY = "documents/test"
 DOCUMENT = ("/read/ stock safe 2", "/order/ orders unsafe 0")
@@ -38,16 +40,23 @@
 
 
 class Decoder(documents.DocumentDecoder):
-    """Decodes routes of one host from lines like ``/read/ stock safe 2``.
+    """Decodes routes of one host and teams from lines of fields.
 
-    The fields are path prefix, service names separated by commas, ``safe`` for
-    an idempotent route, and priority.
+    Routes have lines like ``/read/ stock safe 2``, with the path prefix,
+    service names separated by commas, ``safe`` for an idempotent route, and
+    priority. A route with the fifth field ``public`` needs no key. Teams have
+    lines like ``team t1 k1,k2 1 5 10``, with the name, keys, priority, rate and
+    burst.
     """
 
     def decode(self, value):
         found = []
+        teams = []
         for line in value.decode().splitlines():
-            prefix, service, kind, priority = line.split()
+            if line.startswith("team "):
+                teams.append(_to_team(*line.split()[1:]))
+                continue
+            prefix, service, kind, priority, *public = line.split()
             found.append(
                 routes.Route(
                     name=prefix.strip("/"),
@@ -61,15 +70,32 @@
                     destinations=tuple(
                         routes.Destination(name) for name in service.split(",")
                     ),
+                    is_public=bool(public),
                 )
             )
         if not found:
             return result.Err(errors.InvalidInput("document", ()))
         return result.Ok(
-            routes.RouteDocument(1, tuple(found), {}, routes.ConnectionLimits())
+            routes.RouteDocument(
+                1,
+                tuple(found),
+                {},
+                routes.ConnectionLimits(),
+                teams=tuple(teams) or None,
+            )
         )
 
 
+def _to_team(name, key_list, priority, rate_per_s="0", burst="0"):
+    return keys.Team(
+        name,
+        tuple(keys.digest_of(key.encode()) for key in key_list.split(",")),
+        int(priority),
+        float(rate_per_s),
+        float(burst),
+    )
+
+
 class Upstream(handlers.RequestHandler):
     """Upstream whose responses are set by the test."""
 
@@ -219,10 +245,12 @@
         )
         body = fields.get("body", b"")
         deadline_ms = fields.get("deadline_ms", 2_000)
+        lines = fields.get("lines", ())
         writer.write(
             f"{method} {target} HTTP/1.1\r\nHost: x\r\nX-Attempt: {attempt_id}"
             f"\r\nX-Deadline: {deadline_ms}\r\nContent-Length: {len(body)}"
-            "\r\nConnection: close\r\n\r\n".encode()
+            f"\r\n{''.join(line + chr(13) + chr(10) for line in lines)}"
+            "Connection: close\r\n\r\n".encode()
             + body
         )
         try:
--- a/medlardoor/platform/documents.py
+++ b/medlardoor/platform/documents.py
@@ -1,5 +1,7 @@
 """Decodes the operator's object ``config/main`` to a route document."""
 
+import collections
+import json
 import typing
 
 import pydantic
@@ -9,6 +11,7 @@
 from medlardoor.config import routes
 from medlardoor.mesh import documents
 from medlardoor.platform import names, settings
+from medlardoor.teams import keys
 
 __all__ = ["ConfigDecoder"]
 
@@ -54,6 +57,8 @@
     # Time within which a response earns its full value.
     targetLatency: settings.Duration  # noqa: N815
     priority: int
+    # Whether requests carry no key.
+    public: bool = False
     match: _Match
     action: _Action
 
@@ -77,12 +82,48 @@
     idleTimeout: settings.Duration = 15.0  # noqa: N815
 
 
+class _Tenant(_Model):
+    # A team. Its keys are replaced by their digests when a document is read
+    # from the store.
+    # It is sent to upstreams in a header.
+    name: str = pydantic.Field(pattern="^[!-~]{1,128}$")
+    apiKeys: tuple[str, ...] = ()  # noqa: N815
+    priority: int | None = None
+    ratePerS: float = pydantic.Field(default=0.0, ge=0)  # noqa: N815
+    burst: float = pydantic.Field(default=0.0, ge=0)
+
+    @pydantic.field_validator("apiKeys")
+    @classmethod
+    def _have_digests(cls, found: tuple[str, ...]) -> tuple[str, ...]:
+        for key in found:
+            keys.parse_digest(keys.digest_text(key))
+        return found
+
+
 class _Config(_Model):
     version: int
+    tenants: tuple[_Tenant, ...] | None = None
     listeners: tuple[_Listener, ...]
     clusters: tuple[_Cluster, ...] = ()
     limits: _Limits = _Limits()
 
+    @pydantic.field_validator("tenants")
+    @classmethod
+    def _are_distinct(
+        cls, tenants: tuple[_Tenant, ...] | None
+    ) -> tuple[_Tenant, ...] | None:
+        names = collections.Counter(each.name for each in tenants or ())
+        holders = collections.Counter(
+            digest
+            for each in tenants or ()
+            for digest in {keys.digest_text(key) for key in each.apiKeys}
+        )
+        if any(count > 1 for count in names.values()):
+            raise ValueError("expected distinct names of teams")
+        if any(count > 1 for count in holders.values()):
+            raise ValueError("expected each key in one team only")
+        return tenants
+
 
 class ConfigDecoder(documents.DocumentDecoder):
     """Decodes the operator's object ``config/main``."""
@@ -105,6 +146,17 @@
             return result.Err(errors.InvalidInput(names.CONFIG_KEY, faults))
         return result.Ok(_to_document(config))
 
+    def without_secrets(self, value: bytes) -> bytes:
+        """Replaces keys by their digests; see `DocumentDecoder`."""
+        content = json.loads(value)
+        if not content.get("tenants"):
+            return value
+        for tenant in content["tenants"]:
+            tenant["apiKeys"] = [
+                keys.digest_text(key) for key in tenant.get("apiKeys", ())
+            ]
+        return json.dumps(content, separators=(",", ":")).encode()
+
 
 def _to_document(config: _Config) -> routes.RouteDocument:
     limits = config.limits
@@ -129,6 +181,27 @@
             idle_timeout_s=limits.idleTimeout,
         ),
         unknown_kinds=tuple(sorted(kinds - _KNOWN_KINDS)),
+        teams=_to_teams(config.tenants),
+    )
+
+
+def _to_teams(
+    tenants: tuple[_Tenant, ...] | None,
+) -> tuple[keys.Team, ...] | None:
+    if tenants is None:
+        return None
+    return tuple(
+        keys.Team(
+            name=tenant.name,
+            key_digests=tuple(
+                keys.parse_digest(keys.digest_text(key))
+                for key in tenant.apiKeys
+            ),
+            priority=tenant.priority,
+            rate_per_s=tenant.ratePerS,
+            burst=tenant.burst,
+        )
+        for tenant in tenants
     )
 
 
@@ -152,4 +225,5 @@
         priority=rule.priority,
         max_attempts=action.maxAttempts,
         destinations=destinations,
+        is_public=rule.public,
     )
--- a/medlardoor/platform/names.py
+++ b/medlardoor/platform/names.py
@@ -19,6 +19,8 @@
     load=b"X-Medlardoor-Instance-Load",
     not_run=b"X-Medlardoor-Not-Executed",
     caller_service=b"X-Medlardoor-Caller-Service",
+    team=b"X-Medlardoor-Tenant",
+    credential_scheme=b"Token",
 )
 
 # Paths of heartbeats and deregistrations of upstreams; the identifier of the
--- a/medlardoor/platform/tests/test_documents.py
+++ b/medlardoor/platform/tests/test_documents.py
@@ -5,6 +5,7 @@
 import pytest
 
 from medlardoor.platform import documents
+from medlardoor.teams import keys
 
 RULE = {
     "name": "r-1",
@@ -115,3 +116,63 @@
     """A document that was cut short ends the process."""
     value = json.dumps(CONFIG).encode()[:-20]
     assert documents.ConfigDecoder().decode(value).is_err()
+
+
+TENANTS = [
+    {"name": "t1", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 5},
+    {"name": "t2"},
+]
+
+
+def _with_tenants(*tenants):
+    return {**CONFIG, "tenants": list(tenants)}
+
+
+def test_tenant_becomes_a_team():
+    """A team gets another rank or limit, or the key of another team."""
+    document = _decode(_with_tenants(*TENANTS)).unwrap()
+    first, second = document.teams
+    assert (first.name, first.priority) == ("t1", 1)
+    assert (first.rate_per_s, first.burst) == (5, 0)
+    assert first.key_digests == (keys.digest_of(b"k1"), keys.digest_of(b"k2"))
+    assert (second.name, second.key_digests) == ("t2", ())
+    assert second.priority is None
+
+
+def test_document_without_tenants_needs_no_keys():
+    """All callers are refused where there are no teams."""
+    assert _decode(CONFIG).unwrap().teams is None
+    assert _decode(_with_tenants()).unwrap().teams == ()
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [{"name": "t1"}, {"name": "t1"}],
+        [{"name": "t1", "apiKeys": ["k"]}, {"name": "t2", "apiKeys": ["k"]}],
+        [
+            {"name": "t1", "apiKeys": ["k"]},
+            {"name": "t2", "apiKeys": [keys.digest_text("k")]},
+        ],
+        [{"name": "t1", "ratePerS": -1}],
+        [{"name": "t1", "burst": -1}],
+        [{"name": "t1\r\nX: 1"}],
+        [{"name": ""}],
+        [{"name": "t1", "apiKeys": ["sha256:0"]}],
+    ],
+)
+def test_ambiguous_tenants_are_rejected(tenants):
+    """A key selects two teams, or a name adds a header line."""
+    found = _decode(_with_tenants(*tenants))
+    assert found.err_value.faults
+    assert "tenants" in found.err_value.faults[0].path
+
+
+def test_keys_are_not_sent_to_other_nodes():
+    """A key can be read on a link between nodes."""
+    decoder = documents.ConfigDecoder()
+    value = json.dumps(_with_tenants(*TENANTS)).encode()
+    redacted = decoder.without_secrets(value)
+    assert b"k1" not in redacted
+    assert decoder.decode(redacted).unwrap() == decoder.decode(value).unwrap()
+    assert decoder.without_secrets(redacted) == redacted
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -136,6 +136,7 @@
   11: string service_name,
   12: bool repeated,           // The run, or one above it, is a retry.
   13: bool nested,             // A run in progress makes the call.
+  14: binary team,             // Team that the chain serves; empty if unknown.
 }
 
 struct RunAnswer {
