Limit the requests of teams over all nodes by lent tokens

Cause: a document may limit the rate and burst of a team.

Change: each node pledges its equal share of every limit to one lender at a time, and lenders lend tokens from the pledged shares (teams/, design in docs/design/teams.md). mesh/pledging and mesh/lending exchange the messages; mesh/limited_calls gets a token before a call starts and returns it if the request has not run. Requests above the limit get 429 with the time until the next token. Metrics count requests by team.

A lender named in the store was not built: it stops when the store is away.

--- a/medlardoor/config/routes.py
+++ b/medlardoor/config/routes.py
@@ -129,6 +129,9 @@
         for route in document.routes:
             prefixes = self._hosts.setdefault(route.host, {})
             prefixes[route.path_prefix] = route
+        self._most_urgent_priority = min(
+            (route.priority for route in document.routes), default=0
+        )
         self._keys = keys.KeyTable(document.teams or ())
         self._importance = importance.ImportanceScale(
             [
@@ -159,6 +162,10 @@
         priority = None if team is None else team.priority
         return self._importance.importance_of(route.priority, priority)
 
+    def is_most_urgent(self, route: Route) -> bool:
+        """Whether no route has a more urgent priority."""
+        return route.priority <= self._most_urgent_priority
+
     def find_team(self, key: bytes) -> keys.Team | None:
         """Returns the team that holds a key, if any."""
         return self._keys.find(key)
--- a/medlardoor/errors.py
+++ b/medlardoor/errors.py
@@ -57,6 +57,7 @@
     CREDENTIALS_MISSING = "credentials_missing"
     CREDENTIALS_INVALID = "credentials_invalid"
     RATE_LIMITED = "rate_limited"
+    NO_LENDER = "no_lender"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -1,6 +1,7 @@
 """Handling of one caller's request, from the first send to the response."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 from medlardoor import errors
@@ -72,6 +73,7 @@
         "_send_tracker",
         "_timer",
         "is_done",
+        "on_not_run",
         "path_level",
         "request",
         "route",
@@ -100,6 +102,9 @@
         self._overload_redirects = 0
         self._may_have_run = False
         self.is_done = False
+        # Called when the request ends and has not run; None if nothing is to
+        # be done.
+        self.on_not_run: collections.abc.Callable[[], None] | None = None
         # Admission level of the called services if the request was refused
         # because of it, else 0.
         self.path_level = 0
@@ -120,6 +125,14 @@
         """Number of ended attempts that were sent to an upstream."""
         return self._send_tracker.offer_count
 
+    def wait_for_token(self) -> None:
+        """Counts the request as in progress before it is started."""
+        self._shared.in_progress += 1
+
+    def stop_waiting(self) -> None:
+        """Ends the time before the start; see `wait_for_token`."""
+        self._shared.in_progress -= 1
+
     def start(self, path_level: int) -> None:
         """Sends the request to an upstream, or refuses it.
 
@@ -314,6 +327,8 @@
         if self._may_have_run:
             outcome = errors.Outcome.UNKNOWN
         self._end()
+        if self.on_not_run is not None and outcome is errors.Outcome.NOT_RUN:
+            self.on_not_run()
         now = self._loop.time()
         if self._parent is not None and reason in _OVERLOAD_REASONS:
             # The run that made the call cannot succeed, so the time left until
--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -11,6 +11,7 @@
     documents,
     handlers,
     http_messages,
+    limited_calls,
     local_run,
     local_upstream,
     recording,
@@ -24,7 +25,7 @@
 from medlardoor.routing import path as path_module
 from medlardoor.routing import placement as placement_module
 from medlardoor.routing import splits
-from medlardoor.teams import keys
+from medlardoor.teams import keys, limiter
 
 __all__ = ["Dispatcher"]
 
@@ -46,6 +47,7 @@
         fleet: The other nodes and the local upstream.
         local: The local upstream, which is a caller too.
         paths: Admission levels of the services that each route calls.
+        team_limiter: Grants tokens for the requests of teams with a limit.
         recorder: Counts and logs the outcome of requests.
         generator: Source of random numbers.
     """
@@ -57,6 +59,7 @@
         fleet: fleet_module.Fleet,
         local: local_upstream.LocalUpstream,
         paths: path_module.PathController,
+        team_limiter: limiter.TeamLimiter,
         recorder: recording.Recorder,
         generator: random.Random,
     ):
@@ -64,6 +67,7 @@
         self._holder = holder
         self._local = local
         self._paths = paths
+        self._limiter = team_limiter
         self._call_separator = settings.headers.call_separator
         self._generator = generator
         self._splits: dict[routes_module.Route, splits.WeightedSplit] = {}
@@ -195,8 +199,33 @@
             self._reject(request, errors.Reason.LEAVING, reply, remaining_s)
             return None
         call = calls.Call(self._shared, request, route, run, reply, parent)
-        call.start(levels.nested_level(run.level))
-        return call
+        path_level = levels.nested_level(run.level)
+        if team is None or not team.rate_per_s:
+            call.start(path_level)
+            return call
+        limited = limited_calls.LimitedCall(
+            call,
+            path_level,
+            team,
+            table.is_most_urgent(route),
+            self._limiter,
+            lambda grant: self._refuse_limited(request, team, grant, reply),
+        )
+        limited.begin()
+        return limited
+
+    def _refuse_limited(
+        self,
+        request: handlers.Request,
+        team: keys.Team,
+        grant: limiter.Grant,
+        reply: handlers.Reply,
+    ) -> None:
+        """Refuses a request whose team got no token for it."""
+        reason = errors.Reason.NO_LENDER
+        if grant.is_limited:
+            reason = errors.Reason.RATE_LIMITED
+        self._reject(request, reason, reply, grant.wait_s, team)
 
     def _reject(
         self,
@@ -204,6 +233,7 @@
         reason: errors.Reason,
         reply: handlers.Reply,
         unavailable_s: float = 0.0,
+        team: keys.Team | None = None,
     ) -> None:
         """Refuses a request before it is sent to any upstream.
 
@@ -213,10 +243,15 @@
             reply: Called with the response.
             unavailable_s: Expected time until requests are accepted again, in
                 seconds.
+            team: Team of the caller, if it is known.
         """
         attempt_id = request.header(self._attempt_header) or b""
         self._recorder.record_rejection(
-            attempt_id, request.host, request.target, reason
+            attempt_id,
+            request.host,
+            request.target,
+            reason,
+            "" if team is None else team.name,
         )
         retry_after_s = unavailable_s + self._draw_short_retry_after_s()
         reply(
--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -13,6 +13,7 @@
 from medlardoor.mesh import (
     document_exchange,
     documents,
+    fleet_events,
     links,
     local_upstream,
     peers,
@@ -65,11 +66,7 @@
         local: The local upstream.
         holder: Holder of the route document exchanged with other nodes.
         make_status: Returns the current status of this node.
-        on_message: Called with frames that carry crash reports or quarantine
-            updates.
-        restore_departure: Called with the identifier and the start time of an
-            upstream whose departure an earlier process of this node has
-            acknowledged.
+        events: Receives the messages that concern other parts of the node.
         generator: Random number generator for the redial jitter.
     """
 
@@ -79,8 +76,7 @@
         local: local_upstream.LocalUpstream,
         holder: documents.DocumentHolder,
         make_status: collections.abc.Callable[[], ttypes.NodeStatus],
-        on_message: collections.abc.Callable[[ttypes.Frame], None],
-        restore_departure: collections.abc.Callable[[str, int], None],
+        events: fleet_events.FleetEvents,
         generator: random.Random,
     ):
         self._settings = settings
@@ -88,8 +84,7 @@
         self._local = local
         self._holder = holder
         self._make_status = make_status
-        self._on_message = on_message
-        self._restore_departure = restore_departure
+        self._events = events
         self._loop = asyncio.get_running_loop()
         self._roster = roster.Roster(settings, self, generator)
         self._inbound: dict[links.Link, _InboundLink] = {}
@@ -110,6 +105,11 @@
         """Number of known nodes, including this one."""
         return len(self._roster.peers) + 1
 
+    @property
+    def roster(self) -> roster.Roster:
+        """The other nodes and the links that this node dials."""
+        return self._roster
+
     @property
     def usable_nodes(self) -> int:
         """Number of linked nodes with a usable upstream, including this one."""
@@ -232,7 +232,9 @@
         elif frame.left is not None:
             self._on_upstream_left(frame.left)
         else:
-            self._on_message(frame)
+            peer = self._roster.dialled_links.get(link)
+            sender = None if peer is None else peer.instance
+            self._events.message_received(link, sender, frame)
 
     def link_closed(self, link: links.Link) -> None:
         """Cancels runs requested on the link, or fails calls sent on it."""
@@ -240,9 +242,11 @@
         if inbound is not None:
             for handle in list(inbound.handles.values()):
                 handle.cancel()
+            self._events.link_closed(link, None)
             return
         peer = self._roster.link_closed(link)
         if peer is not None:
+            self._events.link_closed(link, peer.instance)
             self._usable.clear()
             peer.fail_calls()
 
@@ -282,7 +286,7 @@
     def _on_status(self, link: links.Link, status: ttypes.NodeStatus) -> None:
         """Processes a status message."""
         self._record_addresses(status)
-        self._resend_left(link, status)
+        self._roster.resend_left(link, status)
         peer = self._roster.dialled_links.get(link)
         is_transfer_allowed = peer is None or peer.status is None
         self._document_exchange.synchronize(link, status, is_transfer_allowed)
@@ -311,21 +315,12 @@
         if not left.instance or not left.upstream_id:
             return
         if left.instance == self._settings.instance:
-            self._restore_departure(left.upstream_id, left.born_ms or 0)
+            self._events.restore_departure(left.upstream_id, left.born_ms or 0)
             return
         peer = self._roster.peers.get(left.instance)
         if peer is not None:
             peer.left = left
 
-    def _resend_left(self, link: links.Link, status: ttypes.NodeStatus) -> None:
-        """Sends an acknowledged departure back to a restarted node."""
-        peer = self._roster.peers.get(status.instance)
-        if peer is None or peer.left is None:
-            return
-        if status.incarnation != peer.reminded_incarnation:
-            peer.reminded_incarnation = status.incarnation
-            link.send(ttypes.Frame(left=peer.left))
-
     def _record_addresses(self, status: ttypes.NodeStatus) -> None:
         """Records the addresses in a status message."""
         sender = ttypes.NodeAddress(
--- /dev/null
+++ b/medlardoor/mesh/lending.py
@@ -0,0 +1,261 @@
+"""Exchange of tokens between nodes; see `teams.lender`."""
+
+import collections
+import collections.abc
+import dataclasses
+import itertools
+
+import anyio
+
+from medlardoor.mesh import clock, documents, links, pledging
+from medlardoor.mesh import roster as roster_module
+from medlardoor.mesh import settings as settings_module
+from medlardoor.teams import keys, lender, limiter, sharding, stock
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+__all__ = ["TokenLending"]
+
+TICK_INTERVAL_S = 0.1
+
+_Report = collections.abc.Callable[[limiter.Grant], None]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _PendingRequest:
+    """A request for a token without an answer.
+
+    Attributes:
+        team: The team.
+        is_urgent: Whether the request may use the last tokens.
+        lender: Node that was asked.
+        report: Called with the answer.
+        requested_at: When it was sent, in seconds.
+    """
+
+    team: keys.Team
+    is_urgent: bool
+    lender: str
+    report: _Report
+    requested_at: float
+
+
+class TokenLending(limiter.TeamLimiter):
+    """Gets tokens from the lenders of their teams, and lends tokens itself.
+
+    Args:
+        settings: Settings of the node.
+        holder: Holds the document in force.
+        roster: The other nodes and the links to them.
+        can_lend: Returns whether this node knows the other nodes and may be a
+            lender.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.MeshSettings,
+        holder: documents.DocumentHolder,
+        roster: roster_module.Roster,
+        can_lend: collections.abc.Callable[[], bool],
+    ):
+        self._instance = settings.instance
+        self._settings = settings.limits
+        self._holder = holder
+        self._roster = roster
+        self._lender = lender.Lender(settings.limits)
+        self._pledges = pledging.PledgeExchange(
+            settings, roster, self._lender, can_lend
+        )
+        self._stock = stock.TokenStock(settings.limits)
+        self._teams: dict[str, keys.Team] = {}
+        self._teams_by_shard: dict[int, list[keys.Team]] = {}
+        self._pending: dict[int, _PendingRequest] = {}
+        self._request_ids = itertools.count(1)
+        self._returned: collections.Counter[str] = collections.Counter()
+        self._limits_changed = anyio.Event()
+        holder.listen(self._adopt_limits)
+
+    def take(self, team: keys.Team, is_urgent: bool, report: _Report) -> None:
+        """Takes a token; see `TeamLimiter`."""
+        now = clock.now()
+        grant = self._stock.take(team.name, is_urgent, now)
+        if grant is not None:
+            report(grant)
+            return
+        shard = self._shard(team.name)
+        instance = self._pledges.lender_of(shard)
+        if instance == self._instance:
+            report(self._lender.lend(team, shard, is_urgent, now))
+            return
+        link = None if instance is None else self._roster.open_link(instance)
+        if link is None:
+            report(limiter.Grant(False))
+            return
+        request_id = next(self._request_ids) & 0x7FFFFFFF
+        self._pending[request_id] = _PendingRequest(
+            team, is_urgent, instance, report, now
+        )
+        request = ttypes.TokenRequest(
+            id=request_id,
+            team=team.name,
+            urgent=is_urgent or None,
+            extra=self._stock.wanted_extra(team.name) or None,
+            returned=self._returned.pop(team.name, None),
+        )
+        link.send(ttypes.Frame(token_request=request))
+
+    def give_back(self, team: keys.Team) -> None:
+        """Returns a token; see `TeamLimiter`."""
+        self._returned[team.name] += 1
+
+    async def run(self) -> None:
+        """Maintains pledges while the document has limits, until cancelled."""
+        while True:
+            if not self._teams:
+                await self._limits_changed.wait()
+                continue
+            self._tick(clock.now())
+            await anyio.sleep(TICK_INTERVAL_S)
+
+    def stop(self) -> None:
+        """Ends lending at the start of a planned stop."""
+        self._pledges.stop()
+
+    def depart(self) -> None:
+        """Ends the use of this node's shares when the process ends."""
+        self._pledges.depart()
+
+    def frame_received(
+        self, link: links.Link, sender: str | None, frame: ttypes.Frame
+    ) -> None:
+        """Handles a message about limits.
+
+        Args:
+            link: Link of the message.
+            sender: Node at the other end if this node has dialled the link.
+            frame: The message.
+        """
+        if frame.token_request is not None:
+            self._on_token_request(link, frame.token_request)
+        elif frame.token_grant is not None:
+            self._on_token_grant(frame.token_grant)
+        elif frame.pledge is not None:
+            self._pledges.receive_pledge(link, frame.pledge)
+        elif frame.pledge_answer is not None and sender is not None:
+            is_released = bool(frame.pledge_answer.released)
+            self._pledges.receive_answer(sender, is_released)
+
+    def link_closed(self, link: links.Link, dialled: str | None) -> None:
+        """Ends the exchange on a link.
+
+        Args:
+            link: The closed link.
+            dialled: Node at the other end if this node has dialled the link.
+        """
+        self._pledges.link_closed(link, dialled)
+        if dialled is not None:
+            self._fail_pending(lambda pending: pending.lender == dialled)
+
+    def shares(self) -> dict[int, float]:
+        """Part of the limits of each shard that this node may lend."""
+        now = clock.now()
+        return {
+            shard: self._lender.share(shard, now)
+            for shard in range(self._settings.shards)
+        }
+
+    def _adopt_limits(self) -> None:
+        table = self._holder.table
+        self._teams = {
+            team.name: team
+            for team in table.document.teams or ()
+            if team.rate_per_s > 0
+        }
+        self._teams_by_shard = collections.defaultdict(list)
+        for team in self._teams.values():
+            self._teams_by_shard[self._shard(team.name)].append(team)
+        self._lender.retain(self._teams)
+        self._stock.clear()
+        self._roster.keep_lenders(self._settings if self._teams else None)
+        self._limits_changed.set()
+        self._limits_changed = anyio.Event()
+
+    def _shard(self, team: str) -> int:
+        return sharding.shard_of(team, self._settings.shards)
+
+    def _tick(self, now: float) -> None:
+        timeout_s = self._settings.request_timeout_s
+        self._fail_pending(lambda p: now - p.requested_at > timeout_s)
+        self._flush_returned()
+        self._pledges.tick(now)
+        for shard, teams in self._teams_by_shard.items():
+            self._lender.refresh(shard, teams, now)
+
+    def _on_token_request(
+        self, link: links.Link, message: ttypes.TokenRequest
+    ) -> None:
+        team = self._teams.get(message.team or "")
+        now = clock.now()
+        grant = limiter.Grant(False)
+        extra = 0
+        if team is not None:
+            shard = self._shard(team.name)
+            if message.returned and message.returned > 0:
+                self._lender.give_back(team, shard, message.returned, now)
+            if not message.id:
+                return
+            grant = self._lender.lend(team, shard, bool(message.urgent), now)
+            if grant.is_granted and message.extra and message.extra > 0:
+                extra = self._lender.lend_for_later(
+                    team, shard, message.extra, now
+                )
+        answer = ttypes.TokenGrant(
+            id=message.id,
+            granted=grant.is_granted or None,
+            limited=grant.is_limited or None,
+            wait_ms=int(grant.wait_s * 1_000) or None,
+            extra=extra or None,
+        )
+        link.send(ttypes.Frame(token_grant=answer))
+
+    def _on_token_grant(self, message: ttypes.TokenGrant) -> None:
+        pending = self._pending.pop(message.id, None)
+        if pending is None:
+            return
+        name = pending.team.name
+        if message.granted:
+            if message.extra and message.extra > 0:
+                self._stock.add(name, message.extra, pending.requested_at)
+            pending.report(limiter.Grant(True))
+            return
+        wait_s = max(0, message.wait_ms or 0) / 1_000
+        if message.limited:
+            now = clock.now()
+            self._stock.record_refusal(name, pending.is_urgent, wait_s, now)
+        pending.report(limiter.Grant(False, bool(message.limited), wait_s))
+
+    def _fail_pending(
+        self, is_failed: collections.abc.Callable[[_PendingRequest], bool]
+    ) -> None:
+        """Reports to requests that no token could be got for them."""
+        failed = [n for n, each in self._pending.items() if is_failed(each)]
+        for request_id in failed:
+            self._pending.pop(request_id).report(limiter.Grant(False))
+
+    def _flush_returned(self) -> None:
+        """Returns tokens that no later request has returned."""
+        returned, self._returned = self._returned, collections.Counter()
+        for name, count in returned.items():
+            team = self._teams.get(name)
+            if team is None:
+                continue
+            instance = self._pledges.lender_of(self._shard(name))
+            if instance == self._instance:
+                shard = self._shard(name)
+                self._lender.give_back(team, shard, count, clock.now())
+                continue
+            link = (
+                None if instance is None else self._roster.open_link(instance)
+            )
+            if link is not None:
+                request = ttypes.TokenRequest(id=0, team=name, returned=count)
+                link.send(ttypes.Frame(token_request=request))
--- /dev/null
+++ b/medlardoor/mesh/limited_calls.py
@@ -0,0 +1,78 @@
+"""Calls of teams with a limit, which need a token before they are sent."""
+
+import collections.abc
+
+from medlardoor.mesh import calls, handlers
+from medlardoor.teams import keys, limiter
+
+__all__ = ["LimitedCall"]
+
+
+class LimitedCall(handlers.RequestHandle):
+    """Starts a call when its team has got a token.
+
+    Args:
+        call: The call.
+        path_level: Level of the calls that the upstream will make.
+        team: Team of the caller.
+        is_urgent: Whether the call may use the last tokens of the team.
+        team_limiter: Grants the token.
+        refuse: Called instead if there is no token.
+    """
+
+    __slots__ = (
+        "_call",
+        "_is_cancelled",
+        "_is_waiting",
+        "_is_urgent",
+        "_limiter",
+        "_path_level",
+        "_refuse",
+        "_team",
+    )
+
+    def __init__(
+        self,
+        call: calls.Call,
+        path_level: int,
+        team: keys.Team,
+        is_urgent: bool,
+        team_limiter: limiter.TeamLimiter,
+        refuse: collections.abc.Callable[[limiter.Grant], None],
+    ):
+        self._call = call
+        self._path_level = path_level
+        self._team = team
+        self._is_urgent = is_urgent
+        self._limiter = team_limiter
+        self._refuse = refuse
+        self._is_waiting = False
+        self._is_cancelled = False
+
+    def begin(self) -> None:
+        """Asks for a token."""
+        self._is_waiting = True
+        self._call.wait_for_token()
+        self._limiter.take(self._team, self._is_urgent, self._on_grant)
+
+    def cancel(self) -> None:
+        """Cancels the call, or the wait for a token."""
+        if self._is_waiting:
+            self._is_cancelled = True
+        else:
+            self._call.cancel()
+
+    def _on_grant(self, grant: limiter.Grant) -> None:
+        self._is_waiting = False
+        self._call.stop_waiting()
+        if self._is_cancelled:
+            if grant.is_granted:
+                self._limiter.give_back(self._team)
+        elif grant.is_granted:
+            self._call.on_not_run = self._give_back
+            self._call.start(self._path_level)
+        else:
+            self._refuse(grant)
+
+    def _give_back(self) -> None:
+        self._limiter.give_back(self._team)
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -15,8 +15,12 @@
     dispatch,
     documents,
     fleet,
+    fleet_events,
     handlers,
+    lending,
+    links,
     local_upstream,
+    node_metrics,
     observing,
     presence,
     recording,
@@ -50,7 +54,7 @@
 NOT_READY_STATUS = 503
 
 
-class Node:
+class Node(fleet_events.FleetEvents):
     """One node with all of its components.
 
     Must be created inside a running event loop.
@@ -90,10 +94,15 @@
             self._local,
             self._holder,
             self._build_status,
-            self._receive_message,
-            self._restore_departure,
+            self,
             generator,
         )
+        self._lending = lending.TokenLending(
+            settings,
+            self._holder,
+            self._fleet.roster,
+            lambda: self._presence.has_listed,
+        )
         self._recorder = recording.Recorder(settings.headers.attempt_id)
         self._dispatcher = dispatch.Dispatcher(
             settings,
@@ -101,6 +110,7 @@
             self._fleet,
             self._local,
             path.PathController(board),
+            self._lending,
             self._recorder,
             generator,
         )
@@ -115,7 +125,7 @@
             settings,
             store,
             self._fleet.record_node,
-            self._restore_departure,
+            self.restore_departure,
             lambda: self._fleet.has_open_link,
             lambda: self._fleet.is_covered,
             generator,
@@ -189,11 +199,13 @@
                     self._fleet.run,
                     self._watch.run,
                     self._presence.run,
+                    self._lending.run,
                     self._sweep,
                 ):
                     group.start_soon(supervision.keep_running, task)
                 await stop.wait()
                 await self._stop()
+                self._lending.depart()
                 group.cancel_scope.cancel()
         finally:
             for server in servers:
@@ -253,6 +265,7 @@
         )
         self._is_stopping = True
         self._dispatcher.begin_stop()
+        self._lending.stop()
         self._fleet.status_changed()
         current = self._register.current
         if current is not None and self._register.is_leaving:
@@ -331,8 +344,8 @@
             watches=self._watch.is_watching,
         )
 
-    def _restore_departure(self, upstream_id: str, born_ms: int) -> None:
-        """Restores a departure that an earlier process had acknowledged."""
+    def restore_departure(self, upstream_id: str, born_ms: int) -> None:
+        """Restores a departure; see `FleetEvents`."""
         was_usable = self._register.is_usable
         self._register.restore_departure(upstream_id, born_ms)
         if was_usable and not self._register.is_usable:
@@ -349,12 +362,21 @@
         else:
             self._fleet.broadcast(ttypes.Frame(quarantine_update=message))
 
-    def _receive_message(self, frame: ttypes.Frame) -> None:
+    def link_closed(self, link: links.Link, dialled: str | None) -> None:
+        """Ends exchanges on a link; see `FleetEvents`."""
+        self._lending.link_closed(link, dialled)
+
+    def message_received(
+        self, link: links.Link, sender: str | None, frame: ttypes.Frame
+    ) -> None:
+        """Passes a message on to the part it concerns; see `FleetEvents`."""
         now = self._loop.time()
         if frame.crash_report is not None:
             self._crashes.receive_report(frame.crash_report, now)
         elif frame.quarantine_update is not None:
             self._crashes.receive_update(frame.quarantine_update, now)
+        else:
+            self._lending.frame_received(link, sender, frame)
 
     def _render_ready(self) -> tuple[int, str]:
         if self.is_ready:
@@ -362,26 +384,14 @@
         return NOT_READY_STATUS, "not ready\n"
 
     def _render_metrics(self) -> tuple[int, str]:
-        admission_queue = self._local.admission_queue
-        gauges = {
-            "document_revision": self._holder.revision,
-            "nodes_known": self._fleet.size,
-            "links_open": self._fleet.open_links,
-            "requests_in_progress": self._dispatcher.in_progress,
-            "buffered_bytes": self._buffers.used_bytes,
-            "upstream_limit": admission_queue.limit,
-            "upstream_running": admission_queue.running,
-            "upstream_waiting": admission_queue.waiting,
-            "admission_level": admission_queue.level,
-            "upstream_usable": int(self._local.is_usable),
-            "upstream_connections_total": self._local.connections_opened,
-        }
-        lines = [f"medlardoor_{name} {value}" for name, value in gauges.items()]
-        for rank, limit in admission_queue.bounds.items():
-            label = f'{{rank="{rank}"}}'
-            lines.append(f"medlardoor_chains_most{label} {limit:.1f}")
-        for reason, count in self._local.breaks.items():
-            label = f'{{reason="{reason.value}"}}'
-            lines.append(f"medlardoor_upstream_breaks_total{label} {count}")
-        lines += self._recorder.render()
-        return READY_STATUS, "\n".join(lines) + "\n"
+        return READY_STATUS, node_metrics.render(
+            self._local,
+            self._fleet,
+            self._dispatcher,
+            self._recorder,
+            {
+                "document_revision": self._holder.revision,
+                "buffered_bytes": self._buffers.used_bytes,
+            },
+            self._lending.shares(),
+        )
--- /dev/null
+++ b/medlardoor/mesh/node_metrics.py
@@ -0,0 +1,51 @@
+"""Metrics of a node in the Prometheus exposition format."""
+
+from medlardoor.mesh import dispatch, local_upstream, recording
+from medlardoor.mesh import fleet as fleet_module
+
+__all__ = ["render"]
+
+
+def render(
+    local: local_upstream.LocalUpstream,
+    fleet: fleet_module.Fleet,
+    dispatcher: dispatch.Dispatcher,
+    recorder: recording.Recorder,
+    gauges: dict[str, int],
+    lent_shares: dict[int, float],
+) -> str:
+    """Returns the metrics of a node as lines of text.
+
+    Args:
+        local: The local upstream.
+        fleet: The other nodes.
+        dispatcher: Handles the requests of callers.
+        recorder: Counters of requests.
+        gauges: Further gauges by name.
+        lent_shares: Part of the limits of each shard that this node may lend.
+    """
+    admission_queue = local.admission_queue
+    values = {
+        **gauges,
+        "nodes_known": fleet.size,
+        "links_open": fleet.open_links,
+        "requests_in_progress": dispatcher.in_progress,
+        "upstream_limit": admission_queue.limit,
+        "upstream_running": admission_queue.running,
+        "upstream_waiting": admission_queue.waiting,
+        "admission_level": admission_queue.level,
+        "upstream_usable": int(local.is_usable),
+        "upstream_connections_total": local.connections_opened,
+    }
+    lines = [f"medlardoor_{name} {value}" for name, value in values.items()]
+    for rank, limit in admission_queue.bounds.items():
+        label = f'{{rank="{rank}"}}'
+        lines.append(f"medlardoor_chains_most{label} {limit:.1f}")
+    for reason, count in local.breaks.items():
+        label = f'{{reason="{reason.value}"}}'
+        lines.append(f"medlardoor_upstream_breaks_total{label} {count}")
+    for shard, share in lent_shares.items():
+        if share:
+            label = f'{{shard="{shard}"}}'
+            lines.append(f"medlardoor_lent_share{label} {share:.3f}")
+    return "\n".join([*lines, *recorder.render()]) + "\n"
--- a/medlardoor/mesh/peers.py
+++ b/medlardoor/mesh/peers.py
@@ -60,6 +60,10 @@
         self.left: ttypes.UpstreamLeft | None = None
         # Incarnation of the node to which it was last sent back.
         self.reminded_incarnation: int | None = None
+        # Whether the node has announced that it ends in a planned stop.
+        self.has_departed = False
+        # Incarnation of the node that has stopped to lend tokens.
+        self.stopped_lender_incarnation: int | None = None
         # Pause between two status messages of the node, in seconds.
         self.status_interval_s = DEFAULT_STATUS_INTERVAL_S
         self._loop = asyncio.get_running_loop()
--- /dev/null
+++ b/medlardoor/mesh/pledging.py
@@ -0,0 +1,186 @@
+"""Exchange of pledges between nodes; see `teams.lender` and `teams.pledger`."""
+
+import collections.abc
+
+import logbook
+
+from medlardoor import logs
+from medlardoor.mesh import clock, links
+from medlardoor.mesh import roster as roster_module
+from medlardoor.mesh import settings as settings_module
+from medlardoor.teams import lender as lender_module
+from medlardoor.teams import pledger as pledger_module
+from medlardoor.wire.generated.medlardoor_messages import ttypes
+
+__all__ = ["PledgeExchange"]
+
+_LOG = logbook.Logger("lending")
+
+
+class PledgeExchange:
+    """Pledges the shares of this node, and records those of other nodes.
+
+    Args:
+        settings: Settings of the node.
+        roster: The other nodes and the links to them.
+        lender: Lends tokens from the pledged shares.
+        can_lend: Returns whether this node knows the other nodes and may be a
+            lender.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.MeshSettings,
+        roster: roster_module.Roster,
+        lender: lender_module.Lender,
+        can_lend: collections.abc.Callable[[], bool],
+    ):
+        self._instance = settings.instance
+        self._settings = settings.limits
+        self._roster = roster
+        self._lender = lender
+        self._can_lend = can_lend
+        self._pledger = pledger_module.Pledger(settings.limits)
+        self._channels: dict[links.Link, lender_module.PledgeChannel] = {}
+        self._own_channel = lender.open_channel(self._instance)
+        self._next_pledge_at = 0.0
+        self._lent_shards: set[int] = set()
+
+    def lender_of(self, shard: int) -> str | None:
+        """Node to ask for tokens of a shard, if there is one."""
+        return self._pledger.lender_of(shard)
+
+    def tick(self, now: float) -> None:
+        """Sends the pledges that are due.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        if now >= self._next_pledge_at:
+            self._send_pledges(now)
+
+    def stop(self) -> None:
+        """Ends lending and releases the shares that were pledged."""
+        self._lender.stop()
+        for link in self._channels:
+            answer = ttypes.PledgeAnswer(released=True)
+            link.send(ttypes.Frame(pledge_answer=answer))
+        self._pledger.released(self._instance)
+        self._send_pledges(clock.now())
+
+    def depart(self) -> None:
+        """Tells the lenders that this node ends and uses no share any more."""
+        candidates = {
+            instance
+            for shard in range(self._settings.shards)
+            for instance in self._roster.lender_candidates(shard)
+        }
+        for instance in candidates:
+            link = self._roster.open_link(instance)
+            if link is not None:
+                pledge = ttypes.SharePledge(
+                    instance=self._instance, shards=[], stamp=0, departs=True
+                )
+                link.send(ttypes.Frame(pledge=pledge))
+
+    def link_closed(self, link: links.Link, dialled: str | None) -> None:
+        """Ends the exchange on a link.
+
+        Args:
+            link: The closed link.
+            dialled: Node at the other end if this node has dialled the link.
+        """
+        self._channels.pop(link, None)
+        if dialled is not None:
+            self._pledger.link_closed(dialled)
+
+    def receive_pledge(
+        self, link: links.Link, message: ttypes.SharePledge
+    ) -> None:
+        """Records and answers the pledge of another node."""
+        if not message.instance:
+            return
+        if message.departs:
+            self._lender.record_departure(message.instance)
+            self._roster.record_departure(message.instance)
+            return
+        channel = self._channels.get(link)
+        if channel is None:
+            channel = self._lender.open_channel(message.instance)
+            self._channels[link] = channel
+        self._lender.record_pledge(
+            channel, message.shards or (), message.stamp or 0, clock.now()
+        )
+        answer = ttypes.PledgeAnswer(released=self._lender.is_stopped or None)
+        link.send(ttypes.Frame(pledge_answer=answer))
+
+    def receive_answer(self, sender: str, is_released: bool) -> None:
+        """Handles the answer to a pledge.
+
+        Args:
+            sender: The lender.
+            is_released: Whether it has stopped and counts no share any more.
+        """
+        now = clock.now()
+        if is_released:
+            self._pledger.released(sender)
+            self._roster.record_stopped_lender(sender)
+            self._send_pledges(now)
+        elif self._pledger.answered(sender, now):
+            self._send_pledges(now)
+
+    def _send_pledges(self, now: float) -> None:
+        self._next_pledge_at = now + self._settings.pledge_interval_s
+        for instance in self._roster.members():
+            self._lender.record_member(instance, now)
+        preferred = [
+            self._preferred_lender(shard)
+            for shard in range(self._settings.shards)
+        ]
+        is_due = False
+        for pledge in self._pledger.update(preferred, now):
+            if pledge.lender == self._instance:
+                self._lender.record_pledge(
+                    self._own_channel, pledge.shards, pledge.stamp, now
+                )
+                is_due |= self._pledger.answered(self._instance, now)
+                continue
+            message = ttypes.SharePledge(
+                instance=self._instance,
+                shards=sorted(pledge.shards),
+                stamp=pledge.stamp,
+            )
+            link = self._roster.open_link(pledge.lender)
+            if link is None:
+                self._pledger.link_closed(pledge.lender)
+            else:
+                link.send(ttypes.Frame(pledge=message))
+        if is_due:
+            self._send_pledges(now)
+        self._log_lending(now)
+
+    def _preferred_lender(self, shard: int) -> str | None:
+        for instance in self._roster.lender_candidates(shard):
+            if instance == self._instance:
+                if self._can_lend() and not self._lender.is_stopped:
+                    return instance
+            elif self._roster.may_lend(instance):
+                return instance
+        return None
+
+    def _log_lending(self, now: float) -> None:
+        """Logs which shards this node starts or ceases to lend for."""
+        lent = {
+            shard
+            for shard in range(self._settings.shards)
+            if self._lender.share(shard, now) > 0
+        }
+        if lent != self._lent_shards:
+            self._lent_shards = lent
+            logs.log_event(
+                _LOG,
+                logbook.INFO,
+                "lending_changed",
+                shards=sorted(lent),
+                pledges=len(self._lender.pledging_members),
+            )
--- a/medlardoor/mesh/recording.py
+++ b/medlardoor/mesh/recording.py
@@ -22,6 +22,11 @@
 
 PERCENTILES = (50.0, 90.0, 99.0)
 
+# Number of teams with counters of their own, to limit the number of series.
+# The requests of further teams are counted under one name.
+MAX_COUNTED_TEAMS = 256
+OTHER_TEAMS = "(other)"
+
 
 class Recorder:
     """Counts the outcomes of requests and logs all but timely successes.
@@ -35,6 +40,8 @@
         self._request_counts: collections.Counter[
             tuple[str, str, str | int]
         ] = collections.Counter()
+        # Number of callers' requests by team and outcome.
+        self._team_counts: dict[str, collections.Counter[str]] = {}
         # Number of requests by latency in milliseconds, for each route. The
         # histogram is built from it on demand, since recording a value in a
         # histogram would cost more than all other work of the recorder.
@@ -51,6 +58,7 @@
         name = call.route.name
         finished_at = call.now
         self._count(name, "answered", result.status)
+        self._count_team(call, "answered")
         self._record_latency(name, finished_at - call.request.received_at)
         is_late = finished_at > call.run.objective_deadline
         if result.status < 500 and not is_late:
@@ -82,6 +90,7 @@
             retry_after_s: Time after which the caller may retry, in seconds.
         """
         self._count(call.route.name, outcome.value, reason.value)
+        self._count_team(call, reason.value)
         event = "request_failed"
         if outcome is errors.Outcome.NOT_RUN:
             event = "request_refused"
@@ -124,6 +133,7 @@
             attempt: The last attempt; None if the request was not sent.
         """
         self._count(call.route.name, "cancelled", "caller_gone")
+        self._count_team(call, "cancelled")
         self._log(logbook.INFO, "request_cancelled", call, attempt)
 
     def record_rejection(
@@ -132,6 +142,7 @@
         host: bytes,
         target: bytes,
         reason: errors.Reason,
+        team: str = "",
     ) -> None:
         """Counts and logs a request that was refused without a call.
 
@@ -140,8 +151,11 @@
             host: Value of the ``Host`` header.
             target: Path and query.
             reason: Why the request was refused.
+            team: Name of the caller's team; empty if it is unknown.
         """
         self._count("", errors.Outcome.NOT_RUN.value, reason.value)
+        if team:
+            self._add_to_team(team, reason.value)
         logs.log_request(
             _LOG,
             logbook.INFO,
@@ -150,6 +164,7 @@
             host=_decode(host),
             target=_decode(target)[:200],
             reason=reason.value,
+            **({"team": team} if team else {}),
         )
 
     def render(self) -> list[str]:
@@ -160,6 +175,13 @@
         ):
             labels = f'route="{route}",outcome="{outcome}",detail="{detail}"'
             lines.append(f"medlardoor_requests_total{{{labels}}} {count}")
+        lines.append("# TYPE medlardoor_team_requests_total counter")
+        for team, counts in sorted(self._team_counts.items()):
+            for detail, count in sorted(counts.items()):
+                labels = f'team="{team}",detail="{detail}"'
+                lines.append(
+                    f"medlardoor_team_requests_total{{{labels}}} {count}"
+                )
         lines.append("# TYPE medlardoor_latency_ms summary")
         for route in sorted(self._latency_counts):
             latencies = self._histogram(route)
@@ -176,6 +198,19 @@
     def _count(self, route: str, outcome: str, detail: str | int) -> None:
         self._request_counts[route, outcome, detail] += 1
 
+    def _count_team(self, call, detail: str) -> None:
+        """Counts a request of a caller; calls of runs are not counted."""
+        if call.run.team and not call.run.nested:
+            self._add_to_team(_decode(call.run.team), detail)
+
+    def _add_to_team(self, team: str, detail: str) -> None:
+        counts = self._team_counts.get(team)
+        if counts is None:
+            if len(self._team_counts) >= MAX_COUNTED_TEAMS:
+                team = OTHER_TEAMS
+            counts = self._team_counts.setdefault(team, collections.Counter())
+        counts[detail] += 1
+
     def _record_latency(self, route: str, latency_s: float) -> None:
         counts = self._latency_counts.get(route)
         if counts is None:
--- a/medlardoor/mesh/roster.py
+++ b/medlardoor/mesh/roster.py
@@ -11,6 +11,8 @@
 from medlardoor.mesh import links as links_module
 from medlardoor.mesh import peers as peers_module
 from medlardoor.mesh import settings as settings_module
+from medlardoor.teams import settings as limit_settings
+from medlardoor.teams import sharding
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 __all__ = ["Roster"]
@@ -48,6 +50,8 @@
         self._peers: dict[str, peers_module.Peer] = {}
         self._peers_by_link: dict[links_module.Link, peers_module.Peer] = {}
         self._neighbours: set[str] = set()
+        self._limit_settings: limit_settings.LimitSettings | None = None
+        self._lender_candidates: list[list[str]] = []
         self._next_choice_at = 0.0
         self._is_choice_due = True
         self._new_peers: list[peers_module.Peer] = []
@@ -103,7 +107,10 @@
             status: The status of the node.
         """
         peer = self._peers.get(status.instance)
-        if peer is None or peer.is_dialling:
+        if peer is None:
+            return
+        peer.has_departed &= bool(status.leaving)
+        if peer.is_dialling:
             return
         if peer.link is None:
             peer.redial_at = 0.0
@@ -117,6 +124,77 @@
         ):
             peer.link.abort()
 
+    def resend_left(
+        self, link: links_module.Link, status: ttypes.NodeStatus
+    ) -> None:
+        """Sends an acknowledged departure back to a restarted node."""
+        peer = self._peers.get(status.instance)
+        if peer is None or peer.left is None:
+            return
+        if status.incarnation != peer.reminded_incarnation:
+            peer.reminded_incarnation = status.incarnation
+            link.send(ttypes.Frame(left=peer.left))
+
+    def open_link(self, instance: str) -> links_module.Link | None:
+        """Returns the open link that this node has dialled to another one."""
+        peer = self._peers.get(instance)
+        if peer is None or peer.link is None or not peer.link.is_open:
+            return None
+        return peer.link
+
+    def keep_lenders(
+        self, settings: limit_settings.LimitSettings | None
+    ) -> None:
+        """Keeps links to the nodes that may lend tokens.
+
+        Args:
+            settings: Settings of team limits; None if there are no limits.
+        """
+        self._limit_settings = settings
+        self._is_choice_due = True
+
+    def lender_candidates(self, shard: int) -> list[str]:
+        """Reachable nodes that may lend for a shard, the preferred one first.
+
+        This node is included.
+        """
+        if shard >= len(self._lender_candidates):
+            return []
+        return self._lender_candidates[shard]
+
+    def members(self) -> list[str]:
+        """Names of the nodes, with this one, that have not departed."""
+        return [
+            self._own_node.instance,
+            *(n for n, peer in self._peers.items() if not peer.has_departed),
+        ]
+
+    def may_lend(self, instance: str) -> bool:
+        """Whether another node may be asked to lend tokens."""
+        peer = self._peers.get(instance)
+        if peer is None or peer.link is None or peer.status is None:
+            return False
+        status = peer.status
+        return (
+            not status.leaving
+            and not status.asks_addresses
+            and status.incarnation != peer.stopped_lender_incarnation
+            and peer.silent_intervals(self._loop.time())
+            <= self._link_settings.suspect_after_intervals
+        )
+
+    def record_stopped_lender(self, instance: str) -> None:
+        """Records that a node lends no tokens until it is started again."""
+        peer = self._peers.get(instance)
+        if peer is not None and peer.status is not None:
+            peer.stopped_lender_incarnation = peer.status.incarnation
+
+    def record_departure(self, instance: str) -> None:
+        """Records that a node ends in a planned stop."""
+        peer = self._peers.get(instance)
+        if peer is not None:
+            peer.has_departed = True
+
     def take_new_addresses(self) -> list[ttypes.NodeAddress]:
         """Returns the addresses of nodes added since the last call."""
         new, self._new_peers = self._new_peers, []
@@ -179,10 +257,29 @@
             [peer.to_known_node() for peer in self._peers.values()],
             self._settings.neighbours,
         )
+        chosen |= self._choose_lenders()
         for instance in chosen - self._neighbours:
             self._peers[instance].last_reached_at = now
         self._neighbours = chosen
 
+    def _choose_lenders(self) -> set[str]:
+        """Chooses the candidates for lenders; returns those to link to."""
+        settings = self._limit_settings
+        if settings is None:
+            self._lender_candidates = []
+            return set()
+        own = self._own_node.instance
+        reachable = [n for n, p in self._peers.items() if p.is_reachable]
+        self._lender_candidates = [
+            sharding.rank_lenders(shard, [own, *reachable], settings.candidates)
+            for shard in range(settings.shards)
+        ]
+        return {
+            instance
+            for ranked in self._lender_candidates
+            for instance in ranked[: settings.standby_links]
+        } - {own}
+
     def _check_peer(self, peer: peers_module.Peer, now: float) -> None:
         """Checks the link to a node, or dials or forgets the node."""
         is_neighbour = peer.instance in self._neighbours
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -6,6 +6,7 @@
 from medlardoor.membership import neighbours as neighbours_module
 from medlardoor.retries import shares
 from medlardoor.routing import placement as placement_module
+from medlardoor.teams import settings as limit_settings
 
 __all__ = [
     "Address",
@@ -177,6 +178,7 @@
         retries: Settings of the bound on repeated sends to each service.
         placement: Settings of the choice of upstreams.
         neighbours: Numbers of links to other nodes.
+        limits: Settings of the limits of teams.
         buffer_bytes: Maximum bytes of bodies held in memory.
     """
 
@@ -206,4 +208,5 @@
     neighbours: neighbours_module.NeighbourSettings = (
         neighbours_module.NeighbourSettings()
     )
+    limits: limit_settings.LimitSettings = limit_settings.LimitSettings()
     buffer_bytes: int = 128_000_000
--- a/medlardoor/mesh/tests/test_credentials.py
+++ b/medlardoor/mesh/tests/test_credentials.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from medlardoor import errors
+from medlardoor.mesh import recording
 from medlardoor.mesh.tests import group as group_module
 
 pytestmark = pytest.mark.anyio
@@ -143,3 +145,29 @@
         member.node._holder._table = None
         response = await _call(member, "/read/1", "Authorization: Bearer k9")
         assert response.status == 503
+
+
+async def test_requests_are_counted_by_team(keyed_group):
+    """Nobody can see which team is refused, and why."""
+    member = keyed_group.members["o1"]
+    await _call(member, "/read/1", "Authorization: Bearer k1")
+    for other in ("s1", "s2"):
+        keyed_group.members[other].upstream.remaining_sheds = 9
+    await _call(member, "/read/1", "Authorization: Bearer k3")
+    _, metrics = member.node._render_metrics()
+    counter = "medlardoor_team_requests_total"
+    assert f'{counter}{{team="t1",detail="answered"}} 1' in metrics
+    assert f'{counter}{{team="t2",detail="upstream_shed"}} 1' in metrics
+
+
+async def test_number_of_counted_teams_is_bounded(keyed_group, monkeypatch):
+    """Each team of a large document adds series to the metrics."""
+    monkeypatch.setattr(recording, "MAX_COUNTED_TEAMS", 1)
+    recorder = recording.Recorder(b"X-Attempt")
+    for team in ("t1", "t2", "t3"):
+        recorder.record_rejection(
+            b"", b"x", b"/", errors.Reason.RATE_LIMITED, team
+        )
+    lines = [line for line in recorder.render() if 'team="' in line]
+    assert len(lines) == 2
+    assert lines[0].endswith(" 2")
--- /dev/null
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -0,0 +1,149 @@
+"""Tests of limits of teams through nodes on loopback."""
+
+import itertools
+
+import anyio
+import pytest
+
+from medlardoor.mesh.tests import group as group_module
+from medlardoor.teams import settings
+
+pytestmark = pytest.mark.anyio
+
+LIMITS = settings.LimitSettings(
+    pledge_interval_s=0.1, pledge_valid_s=0.5, settle_s=0.3
+)
+MEMBERS = (("s1", "stock"), ("s2", "stock"), ("o1", "orders"), ("o2", "orders"))
+ROUTES = ("/read/ stock safe 2", "/order/ orders unsafe 0")
+KEY_LINE = ("Authorization: Bearer k1",)
+_ids = itertools.count()
+
+
+def _document(rate_per_s, burst):
+    return (*ROUTES, f"team t1 k1 1 {rate_per_s} {burst}")
+
+
+def _lent_share(group):
+    return sum(
+        sum(member.node._lending.shares().values())
+        for member in group.members.values()
+    )
+
+
+async def _wait_until_lent(group, shares=float(LIMITS.shards)):
+    await group_module.wait_until(
+        lambda: abs(_lent_share(group) - shares) < 1e-6, timeout_s=10.0
+    )
+
+
+async def _fill_buckets(group, burst):
+    """Fills the buckets of the team, which would take minutes."""
+
+    def capacity():
+        return sum(bucket._capacity for bucket in _buckets(group))
+
+    await group_module.wait_until(lambda: capacity() >= burst - 1e-6)
+    for bucket in _buckets(group):
+        bucket._tokens = bucket._capacity
+
+
+def _buckets(group):
+    return [
+        bucket
+        for member in group.members.values()
+        for bucket in member.node._lending._lender._buckets.values()
+    ]
+
+
+async def _call_all(group, count, target="/read/1"):
+    """Sends requests to the nodes in turn and returns the responses."""
+    members = itertools.cycle(group.members.values())
+    responses = []
+    for _ in range(count):
+        responses.append(
+            await next(members).call(
+                target, f"l{next(_ids)}", method="POST", lines=KEY_LINE
+            )
+        )
+    return responses
+
+
+async def test_limit_holds_over_all_nodes():
+    """Each node grants the limit of a team for itself."""
+    async with group_module.run_group(
+        MEMBERS, _document(0.2, 20), limits=LIMITS
+    ) as group:
+        await _wait_until_lent(group)
+        await _fill_buckets(group, burst=20)
+        responses = await _call_all(group, 32)
+        statuses = [response.status for response in responses]
+        assert 14 <= statuses.count(200) <= 18
+        limited = [r for r in responses if r.status == 429]
+        assert len(limited) == 32 - statuses.count(200)
+        assert all(float(r.headers["retry-after"]) > 0 for r in limited)
+        assert b"rate_limited" in limited[0].body
+        # The last tokens are kept for orders.
+        orders = await _call_all(group, 8, "/order/1")
+        assert 2 <= [r.status for r in orders].count(200) <= 6
+
+
+async def test_requests_within_the_limit_are_served_by_every_node():
+    """A node refuses what the team is owed because others have its tokens."""
+    async with group_module.run_group(
+        MEMBERS, _document(200, 200), limits=LIMITS
+    ) as group:
+        await _wait_until_lent(group)
+        await _fill_buckets(group, burst=200)
+        responses = await _call_all(group, 40)
+        assert [r.status for r in responses] == [200] * 40
+
+
+async def test_refused_requests_return_their_tokens():
+    """Requests that were never run use up the limit of their team."""
+    async with group_module.run_group(
+        MEMBERS, _document(0.1, 40), limits=LIMITS
+    ) as group:
+        await _wait_until_lent(group)
+        await _fill_buckets(group, burst=40)
+        for name in ("o1", "o2"):
+            group.members[name].upstream.crash()
+        refused = await _call_all(group, 60, "/order/1")
+        assert {r.status for r in refused} == {503}
+        await anyio.sleep(0.3)
+        responses = await _call_all(group, 20)
+        assert [r.status for r in responses] == [200] * 20
+
+
+async def test_planned_stop_of_lenders_passes_the_limit_on():
+    """A team is refused for seconds after a planned stop of a lender."""
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=LIMITS
+    ) as group:
+        await _wait_until_lent(group)
+        stopping = group.members.pop("s1")
+        stopping.stop.set()
+        await _wait_until_lent(group)
+        await stopping.done.wait()
+        await _wait_until_lent(group)
+        await anyio.sleep(0.2)
+        responses = await _call_all(group, 12)
+        assert [r.status for r in responses] == [200] * 12
+
+
+async def test_lost_node_keeps_its_share():
+    """The share of a node that may only be cut off is used by others."""
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=LIMITS
+    ) as group:
+        await _wait_until_lent(group)
+        group.members.pop("o2").scope.cancel()
+        await _wait_until_lent(group, 0.75 * LIMITS.shards)
+
+
+async def test_document_without_limits_needs_no_lenders():
+    """A fleet without limits pays for the exchange of pledges."""
+    async with group_module.run_group(MEMBERS, ROUTES, limits=LIMITS) as group:
+        await anyio.sleep(0.6)
+        assert _lent_share(group) == 0.0
+        member = group.members["s1"]
+        assert (await member.call("/read/1")).status == 200
--- a/medlardoor/platform/documents.py
+++ b/medlardoor/platform/documents.py
@@ -85,8 +85,8 @@
 class _Tenant(_Model):
     # A team. Its keys are replaced by their digests when a document is read
     # from the store.
-    # It is sent to upstreams in a header.
-    name: str = pydantic.Field(pattern="^[!-~]{1,128}$")
+    # It is sent to upstreams in a header and is a label of metrics.
+    name: str = pydantic.Field(pattern=r"^[!#-\[\]-~]{1,128}$")
     apiKeys: tuple[str, ...] = ()  # noqa: N815
     priority: int | None = None
     ratePerS: float = pydantic.Field(default=0.0, ge=0)  # noqa: N815
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -170,6 +170,35 @@
   2: binary value,             // The object, unchanged.
 }
 
+// Limits of teams; see teams/lender.py.
+
+struct SharePledge {
+  1: string instance,          // Node that pledges its shares.
+  2: list<i32> shards,         // Shards whose share is pledged.
+  3: i32 stamp,                // Number of answers received on this link.
+  4: bool departs,             // The node is being stopped.
+}
+
+struct PledgeAnswer {
+  1: bool released,            // The lender has stopped; no share counts.
+}
+
+struct TokenRequest {
+  1: i32 id,                   // 0 if only tokens are returned.
+  2: string team,
+  3: bool urgent,              // The request may use the last tokens.
+  4: i32 extra,                // Tokens wanted for requests to come.
+  5: i32 returned,             // Tokens of requests that have not run.
+}
+
+struct TokenGrant {
+  1: i32 id,
+  2: bool granted,
+  3: bool limited,             // The team has reached its limit.
+  4: i32 wait_ms,              // Expected time until there is a token.
+  5: i32 extra,                // Tokens for requests to come.
+}
+
 union Frame {
   1: RunCall call,
   2: RunAnswer answer,
@@ -179,4 +208,8 @@
   6: CrashReport crash_report,
   7: QuarantineUpdate quarantine_update,
   8: UpstreamLeft left,
+  9: SharePledge pledge,
+  10: PledgeAnswer pledge_answer,
+  11: TokenRequest token_request,
+  12: TokenGrant token_grant,
 }
