Lend at once after a restart of the whole fleet

Cause: a starting lender waits for a second without new members, because nodes that start for the first time learn of each other one by one.

Change: an instance whose object was already stored ends the wait once it has read the list. A conflict counts only for the first write, since a later one may come from an own write whose answer was lost.

Measured: the test fails without the change (600 s of settling).

--- a/medlardoor/mesh/lending.py
+++ b/medlardoor/mesh/lending.py
@@ -48,6 +48,7 @@
         roster: The other nodes and the links to them.
         can_lend: Returns whether this node knows the other nodes and may be a
             lender.
+        knows_all: Returns whether it surely knows all of them.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         holder: documents.DocumentHolder,
         roster: roster_module.Roster,
         can_lend: collections.abc.Callable[[], bool],
+        knows_all: collections.abc.Callable[[], bool],
     ):
         self._instance = settings.instance
         self._settings = settings.limits
@@ -63,7 +65,7 @@
         self._roster = roster
         self._lender = lender.Lender(settings.limits)
         self._pledges = pledging.PledgeExchange(
-            settings, roster, self._lender, can_lend
+            settings, roster, self._lender, can_lend, knows_all
         )
         self._stock = stock.TokenStock(settings.limits)
         self._teams: dict[str, keys.Team] = {}
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -102,6 +102,7 @@
             self._holder,
             self._fleet.roster,
             lambda: self._presence.has_listed,
+            lambda: self._presence.was_registered,
         )
         self._recorder = recording.Recorder(settings.headers.attempt_id)
         self._dispatcher = dispatch.Dispatcher(
--- a/medlardoor/mesh/pledging.py
+++ b/medlardoor/mesh/pledging.py
@@ -26,6 +26,8 @@
         lender: Lends tokens from the pledged shares.
         can_lend: Returns whether this node knows the other nodes and may be a
             lender.
+        knows_all: Returns whether it surely knows all of them, so that it need
+            not wait for further ones.
     """
 
     def __init__(
@@ -34,12 +36,14 @@
         roster: roster_module.Roster,
         lender: lender_module.Lender,
         can_lend: collections.abc.Callable[[], bool],
+        knows_all: collections.abc.Callable[[], bool],
     ):
         self._instance = settings.instance
         self._settings = settings.limits
         self._roster = roster
         self._lender = lender
         self._can_lend = can_lend
+        self._knows_all = knows_all
         self._pledger = pledger_module.Pledger(settings.limits)
         self._channels: dict[links.Link, lender_module.PledgeChannel] = {}
         self._own_channel = lender.open_channel(self._instance)
@@ -133,6 +137,8 @@
         self._next_pledge_at = now + self._settings.pledge_interval_s
         for instance in self._roster.members():
             self._lender.record_member(instance, now)
+        if self._can_lend() and self._knows_all():
+            self._lender.end_settling()
         preferred = [
             self._preferred_lender(shard)
             for shard in range(self._settings.shards)
--- a/medlardoor/mesh/presence.py
+++ b/medlardoor/mesh/presence.py
@@ -8,7 +8,7 @@
 import logbook
 import pydantic
 
-from medlardoor import logs
+from medlardoor import errors, logs
 from medlardoor.membership import neighbours
 from medlardoor.mesh import settings as settings_module
 from medlardoor.mesh import supervision
@@ -109,12 +109,23 @@
         self._changed = anyio.Event()
         self._has_listed = False
         self._has_read_own = False
+        self._was_registered = False
+        self._has_tried_to_write = False
 
     @property
     def has_read_own(self) -> bool:
         """Whether the object of an earlier process has been taken over."""
         return self._has_read_own
 
+    @property
+    def was_registered(self) -> bool:
+        """Whether an earlier process of this instance had stored its object.
+
+        The instances that started together with the first one are then in the
+        list too, so it is complete.
+        """
+        return self._was_registered
+
     @property
     def has_listed(self) -> bool:
         """Whether the objects of other nodes were read at least once."""
@@ -201,6 +212,12 @@
             return True
         value = desired.model_dump_json().encode()
         updated = await self._store.update(self._key, value, self._version)
+        if not self._has_tried_to_write:
+            # A later conflict may come from a write whose answer was lost.
+            self._has_tried_to_write = True
+            self._was_registered = updated.is_err() and isinstance(
+                updated.err_value, errors.StoreConflict
+            )
         if updated.is_ok():
             self._version = updated.ok_value
             self._last_written = desired
--- a/medlardoor/mesh/tests/test_lending.py
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -1,5 +1,6 @@
 """Tests of limits of teams through nodes on loopback."""
 
+import dataclasses
 import itertools
 
 import anyio
@@ -147,3 +148,18 @@
         assert _lent_share(group) == 0.0
         member = group.members["s1"]
         assert (await member.call("/read/1")).status == 200
+
+
+async def test_restarted_fleet_lends_as_soon_as_it_is_linked():
+    """After a loss of power, teams are refused until no new node appears."""
+    patient = dataclasses.replace(LIMITS, settle_s=600.0)
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=patient
+    ) as group:
+        for member in group.members.values():
+            member.scope.cancel()
+            await member.done.wait()
+        for member in group.members.values():
+            await member.start_node(group.tasks)
+        await group.wait_until_settled()
+        await _wait_until_lent(group)
--- a/medlardoor/teams/lender.py
+++ b/medlardoor/teams/lender.py
@@ -139,6 +139,10 @@
             frozenset(shards), valid_until
         )
 
+    def end_settling(self) -> None:
+        """Lets a starting lender lend before `LimitSettings.settle_s`."""
+        self._has_settled = True
+
     def stop(self) -> None:
         """Ends lending for good, so that all pledges can be released."""
         self._is_stopped = True
