Let only nodes that can lend become lenders

Cause: a node that has just started may come first in the order of lenders. The others pledged to it although it lends nothing before it has learned of all nodes, and new members extend that time.

Change: a node tells in its status that it lends, and only such nodes are preferred. A node begins when it is settled and ends with its planned stop.

Measured: a test with a new node that comes first and never settles; the shares of the others stay lent.

--- a/medlardoor/mesh/lending.py
+++ b/medlardoor/mesh/lending.py
@@ -46,9 +46,9 @@
         settings: Settings of the node.
         holder: Holds the document in force.
         roster: The other nodes and the links to them.
-        can_lend: Returns whether this node knows the other nodes and may be a
-            lender.
+        has_listed: Returns whether this node has read the list of nodes.
         knows_all: Returns whether it surely knows all of them.
+        status_changed: Called when this node begins or ends to lend.
     """
 
     def __init__(
@@ -56,8 +56,9 @@
         settings: settings_module.MeshSettings,
         holder: documents.DocumentHolder,
         roster: roster_module.Roster,
-        can_lend: collections.abc.Callable[[], bool],
+        has_listed: collections.abc.Callable[[], bool],
         knows_all: collections.abc.Callable[[], bool],
+        status_changed: collections.abc.Callable[[], None],
     ):
         self._instance = settings.instance
         self._settings = settings.limits
@@ -65,7 +66,12 @@
         self._roster = roster
         self._lender = lender.Lender(settings.limits)
         self._pledges = pledging.PledgeExchange(
-            settings, roster, self._lender, can_lend, knows_all
+            settings,
+            roster,
+            self._lender,
+            has_listed,
+            knows_all,
+            status_changed,
         )
         self._stock = stock.TokenStock(settings.limits)
         self._teams: dict[str, keys.Team] = {}
@@ -76,6 +82,11 @@
         self._limits_changed = anyio.Event()
         holder.listen(self._adopt_limits)
 
+    @property
+    def can_lend(self) -> bool:
+        """Whether other nodes may pledge their shares to this one."""
+        return self._pledges.can_lend
+
     def take(self, team: keys.Team, is_urgent: bool, report: _Report) -> None:
         """Takes a token; see `TeamLimiter`."""
         now = clock.now()
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -103,6 +103,7 @@
             self._fleet.roster,
             lambda: self._presence.has_listed,
             lambda: self._presence.was_registered,
+            self._fleet.status_changed,
         )
         self._recorder = recording.Recorder(settings.headers.attempt_id)
         self._dispatcher = dispatch.Dispatcher(
@@ -343,6 +344,7 @@
             incarnation=settings.incarnation,
             asks_addresses=not self._presence.has_listed,
             watches=self._watch.is_watching,
+            lends=self._lending.can_lend or None,
         )
 
     def restore_departure(self, upstream_id: str, born_ms: int) -> None:
--- a/medlardoor/mesh/pledging.py
+++ b/medlardoor/mesh/pledging.py
@@ -24,10 +24,10 @@
         settings: Settings of the node.
         roster: The other nodes and the links to them.
         lender: Lends tokens from the pledged shares.
-        can_lend: Returns whether this node knows the other nodes and may be a
-            lender.
+        has_listed: Returns whether this node has read the list of nodes.
         knows_all: Returns whether it surely knows all of them, so that it need
             not wait for further ones.
+        status_changed: Called when this node begins or ends to lend.
     """
 
     def __init__(
@@ -35,21 +35,29 @@
         settings: settings_module.MeshSettings,
         roster: roster_module.Roster,
         lender: lender_module.Lender,
-        can_lend: collections.abc.Callable[[], bool],
+        has_listed: collections.abc.Callable[[], bool],
         knows_all: collections.abc.Callable[[], bool],
+        status_changed: collections.abc.Callable[[], None],
     ):
         self._instance = settings.instance
         self._settings = settings.limits
         self._roster = roster
         self._lender = lender
-        self._can_lend = can_lend
+        self._has_listed = has_listed
         self._knows_all = knows_all
+        self._status_changed = status_changed
+        self._can_lend = False
         self._pledger = pledger_module.Pledger(settings.limits)
         self._channels: dict[links.Link, lender_module.PledgeChannel] = {}
         self._own_channel = lender.open_channel(self._instance)
         self._next_pledge_at = 0.0
         self._lent_shards: set[int] = set()
 
+    @property
+    def can_lend(self) -> bool:
+        """Whether other nodes may pledge their shares to this one."""
+        return self._can_lend
+
     def lender_of(self, shard: int) -> str | None:
         """Node to ask for tokens of a shard, if there is one."""
         return self._pledger.lender_of(shard)
@@ -66,6 +74,7 @@
     def stop(self) -> None:
         """Ends lending and releases the shares that were pledged."""
         self._lender.stop()
+        self._can_lend = False
         for link in self._channels:
             answer = ttypes.PledgeAnswer(released=True)
             link.send(ttypes.Frame(pledge_answer=answer))
@@ -137,8 +146,7 @@
         self._next_pledge_at = now + self._settings.pledge_interval_s
         for instance in self._roster.members():
             self._lender.record_member(instance, now)
-        if self._can_lend() and self._knows_all():
-            self._lender.end_settling()
+        self._check_readiness(now)
         preferred = [
             self._preferred_lender(shard)
             for shard in range(self._settings.shards)
@@ -168,12 +176,22 @@
     def _preferred_lender(self, shard: int) -> str | None:
         for instance in self._roster.lender_candidates(shard):
             if instance == self._instance:
-                if self._can_lend() and not self._lender.is_stopped:
+                if self._can_lend:
                     return instance
             elif self._roster.may_lend(instance):
                 return instance
         return None
 
+    def _check_readiness(self, now: float) -> None:
+        """Finds out whether this node knows enough others to lend."""
+        if self._can_lend or self._lender.is_stopped or not self._has_listed():
+            return
+        if self._knows_all():
+            self._lender.end_settling()
+        if self._lender.is_settled(now):
+            self._can_lend = True
+            self._status_changed()
+
     def _log_lending(self, now: float) -> None:
         """Logs which shards this node starts or ceases to lend for."""
         lent = {
--- a/medlardoor/mesh/roster.py
+++ b/medlardoor/mesh/roster.py
@@ -176,8 +176,8 @@
             return False
         status = peer.status
         return (
-            not status.leaving
-            and not status.asks_addresses
+            bool(status.lends)
+            and not status.leaving
             and status.incarnation != peer.stopped_lender_incarnation
             and peer.silent_intervals(self._loop.time())
             <= self._link_settings.suspect_after_intervals
--- a/medlardoor/mesh/tests/test_lending.py
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -7,7 +7,7 @@
 import pytest
 
 from medlardoor.mesh.tests import group as group_module
-from medlardoor.teams import settings
+from medlardoor.teams import settings, sharding
 
 pytestmark = pytest.mark.anyio
 
@@ -31,29 +31,29 @@
     )
 
 
-async def _wait_until_lent(group, shares=float(LIMITS.shards)):
-    await group_module.wait_until(
-        lambda: abs(_lent_share(group) - shares) < 1e-6, timeout_s=10.0
-    )
-
+async def _wait_until_lent(group, share=1.0):
+    """Waits until the preferred lender of each shard has all shares."""
 
-async def _fill_buckets(group, burst):
-    """Fills the buckets of the team, which would take minutes."""
+    def is_lent():
+        for shard in range(LIMITS.shards):
+            (name,) = sharding.rank_lenders(shard, group.members, 1)
+            shares = group.members[name].node._lending.shares()
+            if abs(shares[shard] - share) > 1e-6:
+                return False
+        return True
 
-    def capacity():
-        return sum(bucket._capacity for bucket in _buckets(group))
+    await group_module.wait_until(is_lent, timeout_s=10.0)
 
-    await group_module.wait_until(lambda: capacity() >= burst - 1e-6)
-    for bucket in _buckets(group):
-        bucket._tokens = bucket._capacity
 
-
-def _buckets(group):
-    return [
-        bucket
-        for member in group.members.values()
-        for bucket in member.node._lending._lender._buckets.values()
-    ]
+async def _fill_bucket(group, burst):
+    """Fills the bucket of the team, which would take minutes."""
+    shard = sharding.shard_of("t1", LIMITS.shards)
+    (name,) = sharding.rank_lenders(shard, group.members, 1)
+    buckets = group.members[name].node._lending._lender._buckets
+    await group_module.wait_until(
+        lambda: "t1" in buckets and buckets["t1"]._capacity >= burst - 1e-6
+    )
+    buckets["t1"]._tokens = burst
 
 
 async def _call_all(group, count, target="/read/1"):
@@ -75,7 +75,7 @@
         MEMBERS, _document(0.2, 20), limits=LIMITS
     ) as group:
         await _wait_until_lent(group)
-        await _fill_buckets(group, burst=20)
+        await _fill_bucket(group, burst=20)
         responses = await _call_all(group, 32)
         statuses = [response.status for response in responses]
         assert 14 <= statuses.count(200) <= 18
@@ -94,7 +94,7 @@
         MEMBERS, _document(200, 200), limits=LIMITS
     ) as group:
         await _wait_until_lent(group)
-        await _fill_buckets(group, burst=200)
+        await _fill_bucket(group, burst=200)
         responses = await _call_all(group, 40)
         assert [r.status for r in responses] == [200] * 40
 
@@ -105,7 +105,7 @@
         MEMBERS, _document(0.1, 40), limits=LIMITS
     ) as group:
         await _wait_until_lent(group)
-        await _fill_buckets(group, burst=40)
+        await _fill_bucket(group, burst=40)
         for name in ("o1", "o2"):
             group.members[name].upstream.crash()
         refused = await _call_all(group, 60, "/order/1")
@@ -138,7 +138,7 @@
     ) as group:
         await _wait_until_lent(group)
         group.members.pop("o2").scope.cancel()
-        await _wait_until_lent(group, 0.75 * LIMITS.shards)
+        await _wait_until_lent(group, 0.75)
 
 
 async def test_document_without_limits_needs_no_lenders():
@@ -163,3 +163,26 @@
             await member.start_node(group.tasks)
         await group.wait_until_settled()
         await _wait_until_lent(group)
+
+
+async def test_new_node_becomes_lender_only_when_it_can_lend():
+    """Nodes pledge to a node that has just started, which lends nothing."""
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=LIMITS
+    ) as group:
+        await _wait_until_lent(group)
+        first = next(
+            name
+            for name in (f"n{n}" for n in itertools.count())
+            if sharding.rank_lenders(0, [name, *group.members], 1) == [name]
+        )
+        settling = dataclasses.replace(LIMITS, settle_s=600.0)
+        await group.add(first, "stock", limits=settling)
+        await group.wait_until_settled()
+        await anyio.sleep(3 * LIMITS.pledge_valid_s)
+        assert _lent_share(group) == pytest.approx(LIMITS.shards)
+        for member in group.members.values():
+            member.node._lending._lender.end_settling()
+        await group_module.wait_until(
+            lambda: group.members[first].node._lending.shares()[0] == 1.0
+        )
--- a/medlardoor/teams/lender.py
+++ b/medlardoor/teams/lender.py
@@ -143,6 +143,17 @@
         """Lets a starting lender lend before `LimitSettings.settle_s`."""
         self._has_settled = True
 
+    def is_settled(self, now: float) -> bool:
+        """Whether no member became known for a while after the start.
+
+        Nodes that start together learn of each other one by one, and a lender
+        that knows too few of them would take too large shares.
+        """
+        if not self._has_settled:
+            silence_s = now - self._members.last_added_at
+            self._has_settled = silence_s >= self._settings.settle_s
+        return self._has_settled
+
     def stop(self) -> None:
         """Ends lending for good, so that all pledges can be released."""
         self._is_stopped = True
@@ -159,7 +170,7 @@
             for pledge in self._pledges.values()
             if shard in pledge.shards and now < pledge.valid_until
         ]
-        if not ends or not self._is_settled(now):
+        if not ends or not self.is_settled(now):
             return 0.0
         value = len(ends) / max(len(ends), self._members.count(now))
         self._shares[shard] = _Share(value, min(ends))
@@ -235,16 +246,6 @@
         for name in [n for n in self._buckets if n not in teams]:
             del self._buckets[name]
 
-    def _is_settled(self, now: float) -> bool:
-        """Whether no member became known for a while after the start.
-
-        Nodes that start together learn of each other one by one.
-        """
-        if not self._has_settled:
-            silence_s = now - self._members.last_added_at
-            self._has_settled = silence_s >= self._settings.settle_s
-        return self._has_settled
-
     def _bucket(
         self, team: keys.Team, shard: int, now: float
     ) -> buckets.TokenBucket:
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -120,6 +120,7 @@
   16: bool asks_addresses,     // The sender requests all node addresses.
   17: i32 interval_ms,         // Pause between two statuses of the sender.
   18: bool watches,            // The sender watches the store for documents.
+  19: bool lends,              // The sender may lend tokens of teams.
 }
 
 struct RunCall {
