Search short schedules of a hand-over between two lenders

The property test draws schedules at random; this one runs all 4,096 schedules of four actions of two nodes, with both nodes spending what they can after each. It finds a share that is taken before it is given up.

--- /dev/null
+++ b/medlardoor/teams/tests/test_handover.py
@@ -0,0 +1,95 @@
+"""Exhaustive search of short schedules of two nodes that hand lending over."""
+
+import copy
+
+import pytest
+
+from medlardoor.teams import pledger
+from medlardoor.teams.tests import world as world_module
+
+DEPTH = 4
+
+
+def _spend(world):
+    for node in world.nodes.values():
+        if node.acts:
+            for _ in range(60):
+                node.request()
+    for link in list(world.links):
+        world.deliver(link)
+
+
+def _toggle_pause(world, name):
+    world.nodes[name].is_paused = not world.nodes[name].is_paused
+
+
+def _toggle_cut(world):
+    world.cuts ^= {frozenset(("a", "b"))}
+
+
+def _toggle_links(world):
+    for link in world.links:
+        link.is_silent = not link.is_silent
+
+
+def _restart(world, name):
+    world.close_links(name)
+    world.nodes[name].start()
+
+
+def _stop(world, name):
+    if world.nodes[name].acts:
+        world.nodes[name].stop_lending()
+
+
+# The lender of the calm start is "a".
+ACTIONS = {
+    "pass 0.4 s": lambda world: world.advance(0.4),
+    "pass 1.4 s": lambda world: world.advance(1.4),
+    "spend": _spend,
+    "pause a": lambda world: _toggle_pause(world, "a"),
+    "cut": _toggle_cut,
+    "hold messages": _toggle_links,
+    "restart a": lambda world: _restart(world, "a"),
+    "stop a": lambda world: _stop(world, "a"),
+}
+
+
+def _explore(world, depth):
+    """Runs all schedules of a length; returns how many there were."""
+    if depth == 0:
+        return 1
+    count = 0
+    for action in ACTIONS.values():
+        branch = copy.deepcopy(world)
+        action(branch)
+        # Both nodes spend what they can after each action.
+        _spend(branch)
+        count += _explore(branch, depth - 1)
+    return count
+
+
+def _calm_start():
+    world = world_module.World(["a", "b"], world_module.make_team())
+    world.advance(3.0)
+    assert world.nodes["a"].lender.share(world_module.SHARD, world.now) == 1.0
+    return world
+
+
+def test_no_short_schedule_exceeds_the_limit():
+    """Some order of pauses, cuts, restarts and stops lends a share twice."""
+    assert _explore(_calm_start(), DEPTH) == len(ACTIONS) ** DEPTH
+
+
+def test_search_finds_a_share_taken_before_it_is_given_up(monkeypatch):
+    """The search passes although a share counts at two lenders."""
+    update = pledger.Pledger.update
+
+    def without_waiting(self, preferred, now):
+        for state in self._shards:
+            state.counts_until = 0.0
+        return update(self, preferred, now)
+
+    monkeypatch.setattr(pledger.Pledger, "update", without_waiting)
+    with pytest.raises(AssertionError, match="limit exceeded"):
+        _explore(_calm_start(), DEPTH)
