Require the keys of teams in the product's own interface

Cause: keys held only for documents of the users' platform.

Change: teams.NAME.keys of the document lists digests of keys. Outside callers of the team's kinds need one of them (401 otherwise); the key is not passed on, and the upstream is told the team. check and diff know keys, 'medlardoor new-key' creates one.

Not done: limits of teams in this interface; its nodes have no links that could carry pledges.

--- a/medlardoor/calls/problems.py
+++ b/medlardoor/calls/problems.py
@@ -11,6 +11,8 @@
 OUTCOME_HEADER = b"medlardoor-outcome"
 TYPE_PREFIX = "urn:medlardoor:reason:"
 
+_UNAUTHORIZED = 401
+
 _STATUS_BY_REASON = {
     errors.Reason.DEADLINE_EXCEEDED: 504,
     errors.Reason.UPSTREAM_FAILED: 502,
@@ -27,6 +29,8 @@
     errors.Reason.UNKNOWN_KIND: 404,
     errors.Reason.UNKNOWN_SERVICE: 404,
     errors.Reason.INVALID_REQUEST: 400,
+    errors.Reason.CREDENTIALS_MISSING: _UNAUTHORIZED,
+    errors.Reason.CREDENTIALS_INVALID: _UNAUTHORIZED,
 }
 DEFAULT_STATUS = 503
 
@@ -86,5 +90,7 @@
     if refusal.retry_after_ms > 0:
         seconds = math.ceil(refusal.retry_after_ms / 1_000)
         headers.append((b"retry-after", str(seconds).encode()))
+    if status_of(refusal) == _UNAUTHORIZED:
+        headers.append((b"www-authenticate", b"Bearer"))
     body = problem_body(refusal, chain_id, kind)
     await reply.send_complete(status_of(refusal), headers, body)
--- a/medlardoor/cli/operator.py
+++ b/medlardoor/cli/operator.py
@@ -11,7 +11,12 @@
 from cleo.io import io as base_io
 
 import medlardoor
-from medlardoor.cli import operator_base, operator_commands, promote_command
+from medlardoor.cli import (
+    new_key_command,
+    operator_base,
+    operator_commands,
+    promote_command,
+)
 
 __all__ = ["create_application", "main", "run"]
 
@@ -22,6 +27,7 @@
     operator_commands.StatusCommand,
     operator_commands.HistoryCommand,
     operator_commands.RefusalsCommand,
+    new_key_command.NewKeyCommand,
 )
 
 
--- a/medlardoor/cli/tests/test_operator.py
+++ b/medlardoor/cli/tests/test_operator.py
@@ -17,6 +17,7 @@
 )
 from medlardoor.cli.tests import scripted_node
 from medlardoor.config import document, settings
+from medlardoor.teams import keys
 
 EXAMPLE = (
     pathlib.Path(document.__file__).parent / "examples/derwent/document.jsonc"
@@ -249,3 +250,12 @@
     """An error of the node ends the command with an exception."""
     with scripted_node.serve({"GET /v1/status": [answer]}) as node:
         assert _run("status", "--node", node.url)[0] == code
+
+
+def test_new_key_matches_its_digest():
+    """A caller's key is refused because its digest belongs to another one."""
+    code, output = _run("new-key", "--json")
+    assert code == 0
+    found = json.loads(output)
+    assert found["digest"] == keys.digest_text(found["key"])
+    assert json.loads(_run("new-key", "--json")[1])["key"] != found["key"]
--- a/medlardoor/config/diff.py
+++ b/medlardoor/config/diff.py
@@ -11,6 +11,8 @@
 LINE_WIDTH = 60
 INDENT = "  "
 
+FINGERPRINT_CHARACTERS = 8
+
 _OBJECTIVE_FIELDS = (
     "availability",
     "latency_ms",
@@ -114,9 +116,9 @@
         new: Policy after the change; None if it was removed.
 
     Returns:
-        Differences of the environment and the classes, then of the services
-        and then of the kinds, both sorted by name. Comments and the order of
-        keys are not compared.
+        Differences of the environment and the classes, then of the services,
+        of the teams with keys and of the kinds, each sorted by name. Comments
+        and the order of keys are not compared.
     """
     found = []
     for name in ("environment", "importance_classes"):
@@ -127,6 +129,9 @@
     found += _compare_entries(
         "services", _service_values_by_name(old), _service_values_by_name(new)
     )
+    found += _compare_entries(
+        "teams", _team_values_by_name(old), _team_values_by_name(new)
+    )
     found += _compare_entries(
         "kinds", _kind_values_by_name(old), _kind_values_by_name(new)
     )
@@ -144,6 +149,23 @@
     }
 
 
+def _team_values_by_name(
+    found: policy.Policy | None,
+) -> dict[str, dict[str, str]]:
+    """Keys of each team; only a few characters of a digest fit a phone."""
+    if found is None:
+        return {}
+    return {
+        name: {
+            "keys": ", ".join(
+                digest.hex()[:FINGERPRINT_CHARACTERS]
+                for digest in team.key_digests
+            )
+        }
+        for name, team in found.teams.items()
+    }
+
+
 def _kind_values_by_name(
     found: policy.Policy | None,
 ) -> dict[str, dict[str, str]]:
--- a/medlardoor/config/models.py
+++ b/medlardoor/config/models.py
@@ -13,6 +13,7 @@
     "MAX_AUTHOR_CHARACTERS",
     "MAX_CLASSES",
     "MAX_EARLIER_PROMOTIONS",
+    "MAX_KEYS",
     "MAX_KINDS",
     "MAX_NOTE_CHARACTERS",
     "MAX_RETRY_BUDGET",
@@ -29,6 +30,7 @@
 
 MAX_CLASSES = 32
 MAX_KINDS = 10_000
+MAX_KEYS = 64
 MAX_SERVICES = 2_000
 MAX_RETRY_BUDGET = 16
 MAX_WEIGHT = 1_000_000
@@ -79,6 +81,16 @@
         " and has no space, ? or #",
     ),
 ]
+# A document has digests in place of keys, so that whoever reads it cannot use
+# them.
+KeyDigest = typing.Annotated[
+    str,
+    _pattern_validator(
+        r"sha256:[0-9a-f]{64}",
+        "sha256: and 64 characters of 0-9 and a-f, as `medlardoor new-key`"
+        " prints them",
+    ),
+]
 Method = typing.Literal[
     "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"
 ]
@@ -132,6 +144,9 @@
     """One team and its kinds."""
 
     contact: str = pydantic.Field(min_length=1, max_length=200)
+    keys: list[KeyDigest] = pydantic.Field(
+        default_factory=list, max_length=MAX_KEYS
+    )
     kinds: dict[Name, KindModel] = pydantic.Field(default_factory=dict)
 
 
--- a/medlardoor/config/policy.py
+++ b/medlardoor/config/policy.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from medlardoor.teams import keys as team_keys
+
 __all__ = ["Kind", "Objective", "Policy", "ServicePolicy"]
 
 
@@ -81,12 +83,20 @@
         importance_classes: Class names, most important first.
         kinds: Kinds by name.
         services: Limits by service name.
+        teams: Teams whose callers need a key, by name.
+        keys: Finds the team that holds a key.
     """
 
     environment: str
     importance_classes: tuple[str, ...]
     kinds: dict[str, Kind]
     services: dict[str, ServicePolicy]
+    teams: dict[str, team_keys.Team] = dataclasses.field(default_factory=dict)
+    keys: team_keys.KeyTable = dataclasses.field(
+        default_factory=lambda: team_keys.KeyTable(()),
+        compare=False,
+        repr=False,
+    )
 
     @property
     def top_rank(self) -> int:
--- a/medlardoor/config/tests/test_diff.py
+++ b/medlardoor/config/tests/test_diff.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from medlardoor.config import diff, policy
+from medlardoor.teams import keys
 
 KIND = policy.Kind(
     name="order",
@@ -91,3 +92,15 @@
     difference = diff.Difference(path, old, "x" * 90)
     lines = diff.format_lines((difference,), width)
     assert all(len(line) <= width for line in lines)
+
+
+def test_changed_keys_are_shown_without_secrets():
+    """A key that is withdrawn must be visible in the comparison."""
+    digests = [keys.digest_of(key) for key in (b"k1", b"k2")]
+    before = {"shop": keys.Team("shop", tuple(digests))}
+    after = {"shop": keys.Team("shop", (digests[0],))}
+    first, second = (digest.hex()[:8] for digest in digests)
+    assert diff.compare(
+        dataclasses.replace(POLICY, teams=before),
+        dataclasses.replace(POLICY, teams=after),
+    ) == (diff.Difference("teams.shop.keys", f"{first}, {second}", first),)
--- a/medlardoor/config/tests/test_document.py
+++ b/medlardoor/config/tests/test_document.py
@@ -69,6 +69,7 @@
     assert policy.kind_for("order", "POST", "/orders/7") is order
 
 
+DIGEST = "sha256:" + "0" * 64
 ORDER = ("teams", "shop", "kinds", "order")
 ORDER_PATH = "$.teams.shop.kinds.order"
 
@@ -106,6 +107,12 @@
             ("teams", "other", {"contact": "x", "kinds": {"order": KIND}}),
             "$.teams.other.kinds.order",
         ),
+        (("teams", "shop", "keys", ["k1"]), "$.teams.shop.keys[0]"),
+        (("teams", "shop", "keys", [DIGEST] * 2), "$.teams.shop.keys[1]"),
+        (
+            ("teams", "other", {"contact": "", "keys": [DIGEST, DIGEST]}),
+            "$.teams.other.keys[1]",
+        ),
         (
             ("importance_classes", ["orders", "stock", "orders"]),
             "$.importance_classes[2]",
--- a/medlardoor/node/serving/ingress.py
+++ b/medlardoor/node/serving/ingress.py
@@ -10,7 +10,7 @@
 from medlardoor import errors, logs
 from medlardoor.admission import levels
 from medlardoor.blackboard import topics
-from medlardoor.calls import arrival, context, exchange, problems
+from medlardoor.calls import access, arrival, context, exchange, problems
 from medlardoor.node import parts
 from medlardoor.node.serving import calls
 from medlardoor.node.transport import forwarding
@@ -131,6 +131,14 @@
             await problems.send_problem(reply, arrived.err())
             return
         call = arrived.ok()
+        checked = access.check_key(board.policy.policy, call.team, request)
+        if checked.is_err():
+            self._log_refusal(call, request, checked.err())
+            await problems.send_problem(
+                reply, checked.err(), call.chain_id, call.kind
+            )
+            return
+        request = checked.ok()
         reply.set_answer_headers(lambda: self._response_headers(call))
         self._evaluate_trial(call, request, started_at)
         ended = await self._run_call(call, request, body, reply)
--- a/medlardoor/node/upstream/upstream.py
+++ b/medlardoor/node/upstream/upstream.py
@@ -20,6 +20,7 @@
 __all__ = ["CALL_HEADER", "LoadReport", "Upstream", "UpstreamMonitor"]
 
 CALL_HEADER = b"medlardoor-call"
+TEAM_HEADER = b"medlardoor-team"
 TIMEOUT_HEADER = b"grpc-timeout"
 TRACE_HEADER = b"traceparent"
 MAX_REPORT_BYTES = 4_096
@@ -117,6 +118,7 @@
             *forwarded_headers,
             *request.framing_headers,
             (CALL_HEADER, active.token.encode()),
+            (TEAM_HEADER, active.call.team.encode()),
             (TIMEOUT_HEADER, f"{left_ms}m".encode()),
         ]
 
--- a/medlardoor/report/recorder.py
+++ b/medlardoor/report/recorder.py
@@ -26,6 +26,8 @@
         errors.Reason.KEY_RETIRED,
         errors.Reason.KEY_MISMATCH,
         errors.Reason.INVALID_REQUEST,
+        errors.Reason.CREDENTIALS_MISSING,
+        errors.Reason.CREDENTIALS_INVALID,
     }
 )
 
