Replace lost lenders sooner, and let requests wait for one

Nodes kept links to the first two candidates that seemed reachable; machines that were taken away do not answer, so a dial to each takes a second to fail, and shares were split over several lenders meanwhile.

Change: a node dials on down the order until two candidates have open links, and chooses again when such a link opens or closes. Nodes whose last status said that they stop are no candidates and no members.

--- a/medlardoor/mesh/lending.py
+++ b/medlardoor/mesh/lending.py
@@ -27,16 +27,18 @@
     Attributes:
         team: The team.
         is_urgent: Whether the request may use the last tokens.
-        lender: Node that was asked.
         report: Called with the answer.
-        requested_at: When it was sent, in seconds.
+        started_at: When the token was first wanted, in seconds.
+        lender: Node that was asked.
+        asked_at: When it was asked, in seconds.
     """
 
     team: keys.Team
     is_urgent: bool
-    lender: str
     report: _Report
-    requested_at: float
+    started_at: float
+    lender: str = ""
+    asked_at: float = 0.0
 
 
 class TokenLending(limiter.TeamLimiter):
@@ -77,6 +79,8 @@
         self._teams: dict[str, keys.Team] = {}
         self._teams_by_shard: dict[int, list[keys.Team]] = {}
         self._pending: dict[int, _PendingRequest] = {}
+        # Requests that wait until there is a lender with pledges.
+        self._waiting: list[_PendingRequest] = []
         self._request_ids = itertools.count(1)
         self._returned: collections.Counter[str] = collections.Counter()
         self._limits_changed = anyio.Event()
@@ -93,28 +97,8 @@
         grant = self._stock.take(team.name, is_urgent, now)
         if grant is not None:
             report(grant)
-            return
-        shard = self._shard(team.name)
-        instance = self._pledges.lender_of(shard)
-        if instance == self._instance:
-            report(self._lender.lend(team, shard, is_urgent, now))
-            return
-        link = None if instance is None else self._roster.open_link(instance)
-        if link is None:
-            report(limiter.Grant(False))
-            return
-        request_id = next(self._request_ids) & 0x7FFFFFFF
-        self._pending[request_id] = _PendingRequest(
-            team, is_urgent, instance, report, now
-        )
-        request = ttypes.TokenRequest(
-            id=request_id,
-            team=team.name,
-            urgent=is_urgent or None,
-            extra=self._stock.wanted_extra(team.name) or None,
-            returned=self._returned.pop(team.name, None),
-        )
-        link.send(ttypes.Frame(token_request=request))
+        else:
+            self._ask(_PendingRequest(team, is_urgent, report, now), now)
 
     def give_back(self, team: keys.Team) -> None:
         """Returns a token; see `TeamLimiter`."""
@@ -166,7 +150,11 @@
         """
         self._pledges.link_closed(link, dialled)
         if dialled is not None:
-            self._fail_pending(lambda pending: pending.lender == dialled)
+            # The lender may have lent a token, which is lost then.
+            for request_id in [
+                n for n, each in self._pending.items() if each.lender == dialled
+            ]:
+                self._waiting.append(self._pending.pop(request_id))
 
     def shares(self) -> dict[int, float]:
         """Part of the limits of each shard that this node may lend."""
@@ -196,13 +184,52 @@
         return sharding.shard_of(team, self._settings.shards)
 
     def _tick(self, now: float) -> None:
-        timeout_s = self._settings.request_timeout_s
-        self._fail_pending(lambda p: now - p.requested_at > timeout_s)
-        self._flush_returned()
         self._pledges.tick(now)
+        self._fail_overdue(now)
+        waiting, self._waiting = self._waiting, []
+        for pending in waiting:
+            self._ask(pending, now)
+        self._flush_returned()
         for shard, teams in self._teams_by_shard.items():
             self._lender.refresh(shard, teams, now)
 
+    def _ask(self, pending: _PendingRequest, now: float) -> None:
+        """Asks the lender of a team for a token, or waits for a lender."""
+        team = self._teams.get(pending.team.name)
+        if team is None:
+            # The limit was removed while the request waited.
+            pending.report(limiter.Grant(True))
+            return
+        shard = self._shard(team.name)
+        instance = self._pledges.lender_of(shard)
+        if instance == self._instance:
+            grant = self._lender.lend(team, shard, pending.is_urgent, now)
+            self._settle(pending, grant)
+            return
+        link = None if instance is None else self._roster.open_link(instance)
+        if link is None:
+            self._waiting.append(pending)
+            return
+        pending.lender = instance
+        pending.asked_at = now
+        request_id = next(self._request_ids) & 0x7FFFFFFF
+        self._pending[request_id] = pending
+        request = ttypes.TokenRequest(
+            id=request_id,
+            team=team.name,
+            urgent=pending.is_urgent or None,
+            extra=self._stock.wanted_extra(team.name) or None,
+            returned=self._returned.pop(team.name, None),
+        )
+        link.send(ttypes.Frame(token_request=request))
+
+    def _settle(self, pending: _PendingRequest, grant: limiter.Grant) -> None:
+        """Reports an answer, or waits if the lender has no pledges yet."""
+        if grant.is_granted or grant.is_limited:
+            pending.report(grant)
+        else:
+            self._waiting.append(pending)
+
     def _on_token_request(
         self, link: links.Link, message: ttypes.TokenRequest
     ) -> None:
@@ -235,24 +262,29 @@
         if pending is None:
             return
         name = pending.team.name
-        if message.granted:
-            if message.extra and message.extra > 0:
-                self._stock.add(name, message.extra, pending.requested_at)
-            pending.report(limiter.Grant(True))
-            return
+        if message.granted and message.extra and message.extra > 0:
+            self._stock.add(name, message.extra, pending.asked_at)
         wait_s = max(0, message.wait_ms or 0) / 1_000
         if message.limited:
             now = clock.now()
             self._stock.record_refusal(name, pending.is_urgent, wait_s, now)
-        pending.report(limiter.Grant(False, bool(message.limited), wait_s))
-
-    def _fail_pending(
-        self, is_failed: collections.abc.Callable[[_PendingRequest], bool]
-    ) -> None:
-        """Reports to requests that no token could be got for them."""
-        failed = [n for n, each in self._pending.items() if is_failed(each)]
-        for request_id in failed:
-            self._pending.pop(request_id).report(limiter.Grant(False))
+        grant = limiter.Grant(
+            bool(message.granted), bool(message.limited), wait_s
+        )
+        self._settle(pending, grant)
+
+    def _fail_overdue(self, now: float) -> None:
+        """Reports to overdue requests that no token could be got for them."""
+        latest = now - self._settings.request_timeout_s
+        overdue = [
+            self._pending.pop(request_id)
+            for request_id, pending in list(self._pending.items())
+            if pending.started_at < latest
+        ]
+        overdue += [p for p in self._waiting if p.started_at < latest]
+        self._waiting = [p for p in self._waiting if p.started_at >= latest]
+        for pending in overdue:
+            pending.report(limiter.Grant(False))
 
     def _flush_returned(self) -> None:
         """Returns tokens that no later request has returned."""
--- a/medlardoor/mesh/roster.py
+++ b/medlardoor/mesh/roster.py
@@ -52,6 +52,8 @@
         self._neighbours: set[str] = set()
         self._limit_settings: limit_settings.LimitSettings | None = None
         self._lender_candidates: list[list[str]] = []
+        # Candidates that this node keeps or tries to open a link to.
+        self._standby_lenders: set[str] = set()
         self._next_choice_at = 0.0
         self._is_choice_due = True
         self._new_peers: list[peers_module.Peer] = []
@@ -109,7 +111,9 @@
         peer = self._peers.get(status.instance)
         if peer is None:
             return
-        peer.has_departed &= bool(status.leaving)
+        if peer.has_departed and not status.leaving:
+            peer.has_departed = False
+            self._is_choice_due = True
         if peer.is_dialling:
             return
         if peer.link is None:
@@ -194,6 +198,7 @@
         peer = self._peers.get(instance)
         if peer is not None:
             peer.has_departed = True
+            self._is_choice_due = True
 
     def take_new_addresses(self) -> list[ttypes.NodeAddress]:
         """Returns the addresses of nodes added since the last call."""
@@ -209,7 +214,9 @@
         peer = self._peers_by_link[link]
         peer.link = link
         peer.probed_at = None
-        self._is_choice_due |= not peer.is_reachable
+        self._is_choice_due |= (
+            not peer.is_reachable or peer.instance in self._standby_lenders
+        )
         peer.redial_pause_s = 0.0
 
     def link_closed(self, link: links_module.Link) -> peers_module.Peer | None:
@@ -221,6 +228,9 @@
         peer = self._peers_by_link.pop(link, None)
         if peer is None or peer.link is not link:
             return None
+        if peer.status is not None and peer.status.leaving:
+            peer.has_departed = True
+        self._is_choice_due |= peer.instance in self._standby_lenders
         peer.link = None
         peer.status = None
         peer.redial_at = (
@@ -267,18 +277,29 @@
         settings = self._limit_settings
         if settings is None:
             self._lender_candidates = []
+            self._standby_lenders = set()
             return set()
         own = self._own_node.instance
-        reachable = [n for n, p in self._peers.items() if p.is_reachable]
+        usable = [
+            name
+            for name, peer in self._peers.items()
+            if peer.is_reachable and not peer.has_departed
+        ]
         self._lender_candidates = [
-            sharding.rank_lenders(shard, [own, *reachable], settings.candidates)
+            sharding.rank_lenders(shard, [own, *usable], settings.candidates)
             for shard in range(settings.shards)
         ]
-        return {
-            instance
-            for ranked in self._lender_candidates
-            for instance in ranked[: settings.standby_links]
-        } - {own}
+        self._standby_lenders = set()
+        for ranked in self._lender_candidates:
+            linked_count = 0
+            for instance in ranked:
+                if linked_count >= settings.standby_links:
+                    break
+                self._standby_lenders.add(instance)
+                # A candidate that cannot be linked may take long to fail.
+                is_linked = self.open_link(instance) is not None
+                linked_count += is_linked or instance == own
+        return self._standby_lenders - {own}
 
     def _check_peer(self, peer: peers_module.Peer, now: float) -> None:
         """Checks the link to a node, or dials or forgets the node."""
--- a/medlardoor/mesh/tests/test_lending.py
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from medlardoor.membership import neighbours
 from medlardoor.mesh.tests import group as group_module
 from medlardoor.teams import settings, sharding
 
@@ -186,3 +187,45 @@
         await group_module.wait_until(
             lambda: group.members[first].node._lending.shares()[0] == 1.0
         )
+
+
+async def test_request_waits_for_a_lender():
+    """Requests are refused while shares pass from one lender to another."""
+    patient = dataclasses.replace(LIMITS, request_timeout_s=5.0)
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=patient
+    ) as group:
+        members = list(group.members.values())
+        assert any(
+            member.node._lending.shares()[shard] < 1.0
+            for member in members
+            for shard in range(LIMITS.shards)
+        )
+        response = await members[0].call("/order/1", "w1", lines=KEY_LINE)
+        assert response.status == 200
+
+
+async def test_candidate_that_cannot_be_linked_is_no_standby(monkeypatch):
+    """A lender is replaced only after dials to lost nodes have timed out."""
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=LIMITS
+    ) as group:
+        await _wait_until_lent(group)
+        member = group.members["s1"]
+        roster = member.node._fleet.roster
+        monkeypatch.setattr(roster, "_dial", lambda peer: None)
+        lost = [
+            name
+            for name in (f"n{n}" for n in range(200))
+            if sharding.rank_lenders(0, [name, *group.members], 1) == [name]
+        ][:3]
+        for name in lost:
+            node = neighbours.KnownNode(name, "stock", "d1")
+            roster.record_node(node, member.settings.advertised_address)
+        await group_module.wait_until(
+            lambda: set(lost) <= set(roster.lender_candidates(0))
+        )
+        await group_module.wait_until(lambda: set(lost) <= roster._neighbours)
+        linked = [n for n in roster.lender_candidates(0) if n not in lost]
+        standby = [n for n in linked if n in roster._standby_lenders]
+        assert len(standby) >= LIMITS.standby_links
--- a/medlardoor/teams/settings.py
+++ b/medlardoor/teams/settings.py
@@ -15,12 +15,13 @@
             from every node.
         candidates: Number of nodes for each shard, in order of preference, that
             may become its lender.
-        standby_links: Number of these candidates that each node keeps links to,
-            so that the next one can take over at once.
+        standby_links: Number of these candidates that each node keeps open
+            links to, so that the next one can take over at once.
         pledge_interval_s: Pause between two pledges, in seconds.
         pledge_valid_s: Time for which a pledge counts after the lender has sent
             the stamp that it repeats, in seconds. Two pledges may be lost.
-        request_timeout_s: Timeout of a request for tokens, in seconds.
+        request_timeout_s: Longest wait for the answer of a lender, or for a
+            lender, in seconds.
         hold_s: Time for which a node may keep tokens for requests to come, in
             seconds.
         reserve_share: Share of a burst that is kept for the most urgent
@@ -34,7 +35,7 @@
     """
 
     shards: int = 4
-    candidates: int = 4
+    candidates: int = 6
     standby_links: int = 2
     pledge_interval_s: float = 0.4
     pledge_valid_s: float = 1.3
