Count pledged shares anew only when they change

Cause: each pledge cleared the counted shares, so a lender counted all pledges again for the next token.

Change: a pledge that only lasts longer leaves the counted shares.

--- a/medlardoor/teams/lender.py
+++ b/medlardoor/teams/lender.py
@@ -130,14 +130,21 @@
         channel.answered_at.pop(channel.answer_count - _KEPT_ANSWERS, None)
         if channel.is_replaced or self._is_stopped:
             return
-        self._members.record(channel.instance, now)
-        self._shares.clear()
         valid_until = now
         if answered_at is not None:
             valid_until = answered_at + self._settings.pledge_valid_s
-        self._pledges[channel.instance] = _Pledge(
-            frozenset(shards), valid_until
-        )
+        pledge = _Pledge(frozenset(shards), valid_until)
+        former = self._pledges.get(channel.instance)
+        is_new = self._members.record(channel.instance, now)
+        # A pledge that only lasts longer leaves the counted shares as they are.
+        if (
+            is_new
+            or former is None
+            or former.shards != pledge.shards
+            or not now < former.valid_until <= valid_until
+        ):
+            self._shares.clear()
+        self._pledges[channel.instance] = pledge
 
     def end_settling(self) -> None:
         """Lets a starting lender lend before `LimitSettings.settle_s`."""
