Run the work of limits in the tick of the links

Cause: the limits of teams had a timer of their own, which woke each node ten times a second.

Change: the tick of the links, which runs as often, calls it.

--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -194,6 +194,7 @@
             if now - self._stalled_at > STALL_THRESHOLD_S:
                 self._roster.check(now)
             self._local.tick()
+            self._events.tick()
             if now >= next_status_at:
                 next_status_at = now + self._status_interval_s
                 self._broadcast_status()
--- a/medlardoor/mesh/fleet_events.py
+++ b/medlardoor/mesh/fleet_events.py
@@ -23,6 +23,10 @@
             frame: The message.
         """
 
+    @abc.abstractmethod
+    def tick(self) -> None:
+        """Called several times a second."""
+
     @abc.abstractmethod
     def link_closed(self, link: links.Link, dialled: str | None) -> None:
         """Called when a link has closed.
--- a/medlardoor/mesh/lending.py
+++ b/medlardoor/mesh/lending.py
@@ -5,8 +5,6 @@
 import dataclasses
 import itertools
 
-import anyio
-
 from medlardoor.mesh import clock, documents, links, pledging
 from medlardoor.mesh import roster as roster_module
 from medlardoor.mesh import settings as settings_module
@@ -15,8 +13,6 @@
 
 __all__ = ["TokenLending"]
 
-TICK_INTERVAL_S = 0.1
-
 _Report = collections.abc.Callable[[limiter.Grant], None]
 
 
@@ -83,7 +79,6 @@
         self._waiting: list[_PendingRequest] = []
         self._request_ids = itertools.count(1)
         self._returned: collections.Counter[str] = collections.Counter()
-        self._limits_changed = anyio.Event()
         holder.listen(self._adopt_limits)
 
     @property
@@ -104,14 +99,19 @@
         """Returns a token; see `TeamLimiter`."""
         self._returned[team.name] += 1
 
-    async def run(self) -> None:
-        """Maintains pledges while the document has limits, until cancelled."""
-        while True:
-            if not self._teams:
-                await self._limits_changed.wait()
-                continue
-            self._tick(clock.now())
-            await anyio.sleep(TICK_INTERVAL_S)
+    def tick(self) -> None:
+        """Performs periodic work; must be called several times a second."""
+        if not self._teams:
+            return
+        now = clock.now()
+        self._pledges.tick(now)
+        self._fail_overdue(now)
+        waiting, self._waiting = self._waiting, []
+        for pending in waiting:
+            self._ask(pending, now)
+        self._flush_returned()
+        for shard, teams in self._teams_by_shard.items():
+            self._lender.refresh(shard, teams, now)
 
     def stop(self) -> None:
         """Ends lending at the start of a planned stop."""
@@ -177,22 +177,10 @@
         self._lender.retain(self._teams)
         self._stock.clear()
         self._roster.keep_lenders(self._settings if self._teams else None)
-        self._limits_changed.set()
-        self._limits_changed = anyio.Event()
 
     def _shard(self, team: str) -> int:
         return sharding.shard_of(team, self._settings.shards)
 
-    def _tick(self, now: float) -> None:
-        self._pledges.tick(now)
-        self._fail_overdue(now)
-        waiting, self._waiting = self._waiting, []
-        for pending in waiting:
-            self._ask(pending, now)
-        self._flush_returned()
-        for shard, teams in self._teams_by_shard.items():
-            self._lender.refresh(shard, teams, now)
-
     def _ask(self, pending: _PendingRequest, now: float) -> None:
         """Asks the lender of a team for a token, or waits for a lender."""
         team = self._teams.get(pending.team.name)
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -19,6 +19,7 @@
     handlers,
     lending,
     links,
+    listening,
     local_upstream,
     node_metrics,
     observing,
@@ -38,9 +39,6 @@
 
 _LOG = logbook.Logger("node")
 
-# Number of connections that the kernel queues for each listener.
-LISTEN_BACKLOG = 1_024
-
 # Interval of the checks for connections that exceed their time limits.
 SWEEP_INTERVAL_S = 0.25
 
@@ -201,7 +199,6 @@
                     self._fleet.run,
                     self._watch.run,
                     self._presence.run,
-                    self._lending.run,
                     self._sweep,
                 ):
                     group.start_soon(supervision.keep_running, task)
@@ -231,25 +228,15 @@
         ]
         if settings.metrics_address is not None:
             listeners.append((settings.metrics_address, ready))
-        servers = []
-        for address, handler in listeners:
-            servers.append(
-                await self._loop.create_server(
-                    lambda h=handler: server_connection.ServerConnection(
-                        h, self._connections, self._buffers
-                    ),
-                    address.host,
-                    address.port,
-                    backlog=LISTEN_BACKLOG,
-                )
+        servers = [
+            await listening.listen_for_requests(
+                address, handler, self._connections, self._buffers
             )
-        address = settings.link_address
+            for address, handler in listeners
+        ]
         servers.append(
-            await self._loop.create_server(
-                self._fleet.make_inbound,
-                address.host,
-                address.port,
-                backlog=LISTEN_BACKLOG,
+            await listening.listen(
+                settings.link_address, self._fleet.make_inbound
             )
         )
         return servers
@@ -365,6 +352,10 @@
         else:
             self._fleet.broadcast(ttypes.Frame(quarantine_update=message))
 
+    def tick(self) -> None:
+        """Performs periodic work; see `FleetEvents`."""
+        self._lending.tick()
+
     def link_closed(self, link: links.Link, dialled: str | None) -> None:
         """Ends exchanges on a link; see `FleetEvents`."""
         self._lending.link_closed(link, dialled)
