Let the soak send for teams with keys and limits

Cause: the soak of the real programs knew no keys, teams or limits.

Change: its callers send for two teams, one of them above its limit, and sometimes with a key that no document has. It checks that upstreams learn the caller's team and no key, and that no window has more requests of a team than its limit.

--- a/medlardoor/soak/callers.py
+++ b/medlardoor/soak/callers.py
@@ -12,10 +12,16 @@
 from medlardoor.soak import evidence, upstreams
 from medlardoor.standins import connections
 
-__all__ = ["CallKind", "Caller"]
+__all__ = ["CallKind", "CallTeam", "Caller"]
 
 DEADLINE_MS = 2_000
 REFUSED = (408, 421, 429, 503)
+DENIED = 401
+LIMITED = 429
+
+# Share of the requests with a key that no document has.
+FORGED_SHARE = 0.02
+FORGED_KEY = "forged"
 
 # A caller that gets no answer at all waits so long after its deadline.
 PATIENCE_S = 0.8
@@ -38,12 +44,32 @@
     weight: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallTeam:
+    """A team of callers.
+
+    Attributes:
+        name: Name of the team.
+        key: Its key.
+        rate_per_s: Limit of its requests a second over all nodes.
+        burst: Its burst.
+        weight: Share of the requests.
+    """
+
+    name: str
+    key: str
+    rate_per_s: int
+    burst: int
+    weight: float
+
+
 class Caller:
     """Sends requests to one node from a few kept connections.
 
     Args:
         address: Where the node listens for callers.
         kinds: Kinds of requests.
+        teams: Teams that the requests are sent for.
         ledger: What the soak has seen.
         generator: Source of random draws.
         rate: Requests a second.
@@ -56,6 +82,7 @@
         self,
         address: tuple[str, int],
         kinds: tuple[CallKind, ...],
+        teams: tuple[CallTeam, ...],
         ledger: evidence.Ledger,
         generator: random.Random,
         rate: float,
@@ -63,6 +90,7 @@
     ):
         self._address = address
         self._kinds = kinds
+        self._teams = teams
         self._ledger = ledger
         self._generator = generator
         self._rate = rate
@@ -86,7 +114,18 @@
             self._kinds, [k.weight for k in self._kinds]
         )[0]
         attempt = f"{next(self._numbers):x}-{self._generator.getrandbits(32):x}"
-        self._ledger.asked(kind.service, attempt, kind.is_unsafe, DEADLINE_MS)
+        team = self._generator.choices(
+            self._teams, [t.weight for t in self._teams]
+        )[0]
+        is_forged = self._generator.random() < FORGED_SHARE
+        key = FORGED_KEY if is_forged else team.key
+        self._ledger.asked(
+            kind.service,
+            attempt,
+            kind.is_unsafe,
+            DEADLINE_MS,
+            "" if is_forged else team.name,
+        )
         message = connections.Message(
             "POST" if kind.is_unsafe else "GET",
             f"/{kind.name}/{attempt}",
@@ -94,6 +133,7 @@
                 "Host": "soak.example",
                 names.HEADERS.attempt_id.decode(): attempt,
                 names.HEADERS.deadline_ms.decode(): str(DEADLINE_MS),
+                names.HEADERS.credentials.decode(): f"Token {key}",
             },
             b"x" * self._generator.randrange(2_000) if kind.is_unsafe else b"",
         )
@@ -125,7 +165,8 @@
             return
         found = answer.ok_value
         ledger.outcomes[f"{kind.name} {found.status}"] += 1
-        self.recent.append(found.status == 200)
+        if found.status not in (DENIED, LIMITED):
+            self.recent.append(found.status == 200)
         if found.status in REFUSED:
             ledger.refused(attempt)
         elif found.status == 200:
--- a/medlardoor/soak/evidence.py
+++ b/medlardoor/soak/evidence.py
@@ -19,6 +19,9 @@
 # Deadlines handed on may be so much longer than the caller's, in milliseconds.
 DEADLINE_SLACK_MS = 500
 
+# Window over which the limits of teams are checked, in seconds.
+LIMIT_WINDOW_S = 5.0
+
 MAX_FINDINGS = 20
 
 
@@ -50,13 +53,27 @@
     DEADLINE = "no more time than is left"
     RANK = "least urgent refused first"
     RECOVERY = "service is back"
+    KEY = "the upstream learns the caller's team and no key"
+    LIMIT = "limit of a team over all nodes"
     EXIT = "no process ends by itself"
 
 
 class Ledger:
-    """Records events and checks promises as they come."""
+    """Records events and checks promises as they come.
+
+    Args:
+        limits: Most requests of a team in a window of `LIMIT_WINDOW_S`.
+    """
 
-    def __init__(self):
+    def __init__(self, limits: dict[str, float] | None = None):
+        self._limits = limits or {}
+        # Team of each request; empty if its key is in no document.
+        self._teams: dict[str, str] = {}
+        self._asked_at: dict[str, float] = {}
+        # Times at which requests were sent and first run, by team.
+        self._team_runs: dict[str, collections.deque[tuple[float, float]]] = (
+            collections.defaultdict(collections.deque)
+        )
         self._started_at = time.monotonic()
         self._runs: dict[str, int] = collections.Counter()
         self._refused: set[str] = set()
@@ -84,9 +101,16 @@
             self.findings.append(Finding(promise, self.now_s, detail))
 
     def asked(
-        self, service: str, attempt: str, is_unsafe: bool, deadline_ms: int
+        self,
+        service: str,
+        attempt: str,
+        is_unsafe: bool,
+        deadline_ms: int,
+        team: str,
     ) -> None:
         """A caller sends a request."""
+        self._teams[attempt] = team
+        self._asked_at[attempt] = self.now_s
         self._deadlines[attempt] = deadline_ms
         self._requests[service].append(self.now_s)
         if is_unsafe:
@@ -134,6 +158,28 @@
                 Promise.DEADLINE, f"{attempt}: {deadline_ms} of {asked} ms"
             )
 
+    def ran_for(self, attempt: str, team: str, has_key: bool) -> None:
+        """An upstream begins to work on a request of a team.
+
+        Args:
+            attempt: Identifier of the request.
+            team: Team that the upstream was told.
+            has_key: Whether the upstream was shown a key.
+        """
+        own = self._teams.get(attempt, "")
+        if not own or team != own or has_key:
+            self.report(Promise.KEY, f"{attempt} of {own!r} ran as {team!r}")
+        if self._runs[attempt] > 1 or team not in self._limits:
+            return
+        now = self.now_s
+        runs = self._team_runs[team]
+        runs.append((self._asked_at.get(attempt, now), now))
+        while runs and runs[0][1] < now - LIMIT_WINDOW_S:
+            runs.popleft()
+        count = sum(sent >= now - LIMIT_WINDOW_S for sent, _ in runs)
+        if count > self._limits[team]:
+            self.report(Promise.LIMIT, f"{team}: {count} requests in a window")
+
     def refused(self, attempt: str) -> None:
         """A caller is told that its request has not run."""
         self._refused.add(attempt)
--- a/medlardoor/soak/run.py
+++ b/medlardoor/soak/run.py
@@ -51,7 +51,13 @@
         directory: Where settings and logs are written.
     """
     generator = random.Random(seed)
-    ledger = evidence.Ledger()
+    window_s = evidence.LIMIT_WINDOW_S
+    ledger = evidence.Ledger(
+        {
+            team.name: team.rate_per_s * window_s + team.burst
+            for team in world.TEAMS
+        }
+    )
     series = None
     made = world.World(
         directory, ledger, generator, lambda member: series.is_calm(member)
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -169,6 +169,11 @@
         self._ledger.ran(
             self.service, kind, attempt, self.upstream_id, int(deadline)
         )
+        self._ledger.ran_for(
+            attempt,
+            (request.header(names.HEADERS.team.lower()) or b"").decode(),
+            request.header(names.HEADERS.credentials.lower()) is not None,
+        )
         running = _Running(self, attempt, request, reply, connection)
         self._running.add(running)
         work_s = self._generator.expovariate(1 / 0.03) * fault.slow
--- a/medlardoor/soak/world.py
+++ b/medlardoor/soak/world.py
@@ -15,7 +15,7 @@
 from medlardoor.soak import callers, evidence, relay, upstreams
 from medlardoor.standins import object_store, processes
 
-__all__ = ["KINDS", "Member", "World", "wait_exit"]
+__all__ = ["KINDS", "TEAMS", "Member", "World", "wait_exit"]
 
 SERVICES = ("orders", "stock")
 NODES_EACH = 3
@@ -26,6 +26,11 @@
     callers.CallKind("read", "stock", False, 2.0),
     callers.CallKind("browse", "stock", False, 1.0),
 )
+TEAMS = (
+    callers.CallTeam("shops", "key-of-shops", 1_000, 1_000, 2.0),
+    # Sends about two and a half times its limit.
+    callers.CallTeam("riders", "key-of-riders", 10, 10, 1.0),
+)
 _PRIORITIES = {"order": 0, "read": 1, "browse": 2}
 
 # Two readiness checks without success take a node's callers away.
@@ -192,6 +197,15 @@
         ]
         spec = {
             "version": self._version,
+            "tenants": [
+                {
+                    "name": team.name,
+                    "apiKeys": [team.key],
+                    "ratePerS": team.rate_per_s,
+                    "burst": team.burst,
+                }
+                for team in TEAMS
+            ],
             "listeners": [{"host": "soak.example", "rules": rules}],
             "clusters": [{"name": name} for name in SERVICES],
         }
@@ -273,6 +287,7 @@
         member.caller = callers.Caller(
             member.address("outbound"),
             KINDS,
+            TEAMS,
             self.ledger,
             self._generator,
             RATE,
