Do not count departed nodes as members of a limit

Cause: a lender learned of a planned stop only from nodes that had it among their candidates. For two hours, the share of any other stopped node was not lent.

Change: nodes that the links show as departed are forgotten, unless they have pledged again.

Measured: the test of silent members is extended; a departed node no longer counts, a silent one does.

--- a/medlardoor/mesh/pledging.py
+++ b/medlardoor/mesh/pledging.py
@@ -146,6 +146,8 @@
         self._next_pledge_at = now + self._settings.pledge_interval_s
         for instance in self._roster.members():
             self._lender.record_member(instance, now)
+        for instance in self._roster.departed():
+            self._lender.forget_member(instance, now)
         self._check_readiness(now)
         preferred = [
             self._preferred_lender(shard)
--- a/medlardoor/mesh/roster.py
+++ b/medlardoor/mesh/roster.py
@@ -173,6 +173,10 @@
             *(n for n, peer in self._peers.items() if not peer.has_departed),
         ]
 
+    def departed(self) -> list[str]:
+        """Names of the nodes that have ended in a planned stop."""
+        return [n for n, peer in self._peers.items() if peer.has_departed]
+
     def may_lend(self, instance: str) -> bool:
         """Whether another node may be asked to lend tokens."""
         peer = self._peers.get(instance)
--- a/medlardoor/teams/lender.py
+++ b/medlardoor/teams/lender.py
@@ -87,8 +87,19 @@
         if self._members.record(instance, now):
             self._shares.clear()
 
+    def forget_member(self, instance: str, now: float) -> None:
+        """Forgets a node that has ended in a planned stop.
+
+        A node with a valid pledge has been started again and is kept.
+        """
+        pledge = self._pledges.get(instance)
+        if pledge is not None and now < pledge.valid_until:
+            return
+        if self._members.record_departure(instance):
+            self._shares.clear()
+
     def record_departure(self, instance: str) -> None:
-        """Records that a node has ended in a planned stop."""
+        """Records that a node ends in a planned stop and uses no share."""
         self._members.record_departure(instance)
         self._shares.clear()
         self._pledges.pop(instance, None)
--- a/medlardoor/teams/members.py
+++ b/medlardoor/teams/members.py
@@ -34,9 +34,13 @@
         self._seen_at[instance] = now
         return is_new
 
-    def record_departure(self, instance: str) -> None:
-        """Records that a node has ended in a planned stop."""
-        self._seen_at.pop(instance, None)
+    def record_departure(self, instance: str) -> bool:
+        """Removes a node that ended in a planned stop, if it is counted.
+
+        Returns:
+            Whether it was counted.
+        """
+        return self._seen_at.pop(instance, None) is not None
 
     def count(self, now: float) -> int:
         """Number of nodes, at least 1."""
--- a/medlardoor/teams/tests/test_limits.py
+++ b/medlardoor/teams/tests/test_limits.py
@@ -265,5 +265,7 @@
     assert found.share(0, 600.0) == 0.0
     found.record_pledge(channel, [0], 3, 600.1)
     assert found.share(0, 600.2) == 0.5
-    found.record_departure("b")
+    found.forget_member("a", 600.2)
+    assert found.share(0, 600.2) == 0.5
+    found.forget_member("b", 600.2)
     assert found.share(0, 600.2) == 1.0
