Pledge to a new lender at once

Cause: a node looked for its lenders once in a pledge interval of 0.4 s, so each change of a lender and each restart of the fleet left shares unused for up to that time.

Change: each tick compares the preferred lenders with those of the last pledges, and checks whether this node may begin to lend.

Measured: a test with an interval of 30 s fails before the change.

--- a/medlardoor/mesh/pledging.py
+++ b/medlardoor/mesh/pledging.py
@@ -51,6 +51,7 @@
         self._channels: dict[links.Link, lender_module.PledgeChannel] = {}
         self._own_channel = lender.open_channel(self._instance)
         self._next_pledge_at = 0.0
+        self._last_preferred: list[str | None] = []
         self._lent_shards: set[int] = set()
 
     @property
@@ -63,12 +64,16 @@
         return self._pledger.lender_of(shard)
 
     def tick(self, now: float) -> None:
-        """Sends the pledges that are due.
+        """Sends the pledges that are due, at once when a lender changes.
 
         Args:
             now: Current time, in seconds.
         """
-        if now >= self._next_pledge_at:
+        self._check_readiness(now)
+        if (
+            now >= self._next_pledge_at
+            or self._preferred_lenders() != self._last_preferred
+        ):
             self._send_pledges(now)
 
     def stop(self) -> None:
@@ -148,13 +153,9 @@
             self._lender.record_member(instance, now)
         for instance in self._roster.departed():
             self._lender.forget_member(instance, now)
-        self._check_readiness(now)
-        preferred = [
-            self._preferred_lender(shard)
-            for shard in range(self._settings.shards)
-        ]
+        self._last_preferred = self._preferred_lenders()
         is_due = False
-        for pledge in self._pledger.update(preferred, now):
+        for pledge in self._pledger.update(self._last_preferred, now):
             if pledge.lender == self._instance:
                 self._lender.record_pledge(
                     self._own_channel, pledge.shards, pledge.stamp, now
@@ -175,6 +176,13 @@
             self._send_pledges(now)
         self._log_lending(now)
 
+    def _preferred_lenders(self) -> list[str | None]:
+        """Lender that each shard should have."""
+        return [
+            self._preferred_lender(shard)
+            for shard in range(self._settings.shards)
+        ]
+
     def _preferred_lender(self, shard: int) -> str | None:
         for instance in self._roster.lender_candidates(shard):
             if instance == self._instance:
--- a/medlardoor/mesh/tests/test_lending.py
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -229,3 +229,17 @@
         linked = [n for n in roster.lender_candidates(0) if n not in lost]
         standby = [n for n in linked if n in roster._standby_lenders]
         assert len(standby) >= LIMITS.standby_links
+
+
+async def test_new_lender_gets_shares_before_the_next_interval():
+    """Each change of lenders leaves shares unused for an interval."""
+    slow = dataclasses.replace(
+        LIMITS, pledge_interval_s=30.0, pledge_valid_s=90.0
+    )
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=slow
+    ) as group:
+        await _wait_until_lent(group)
+        stopping = group.members.pop("s1")
+        stopping.stop.set()
+        await _wait_until_lent(group)
