Do not fill buckets while their shares are away

Cause: a bucket went on to fill at its last rate after the pledges behind it had moved to another lender or expired. A lender that regained shares had a full burst at once, also if the other lender had just lent one.

Change: the rate of a bucket ends when the first of its pledges may expire, pledges are counted again before that, and buckets without shares are updated at each tick too. The property test isolates nodes, so that it still finds its three planted faults.

The property test had not found it: shares come back one node at a time, and each cuts the bucket to its part.

--- a/medlardoor/teams/buckets.py
+++ b/medlardoor/teams/buckets.py
@@ -1,6 +1,7 @@
 """Token bucket whose limit changes while it is in use."""
 
 import collections
+import math
 
 __all__ = ["TokenBucket"]
 
@@ -15,6 +16,7 @@
 
     def __init__(self):
         self._rate_per_s = 0.0
+        self._rate_until = math.inf
         self._capacity = 0.0
         self._tokens = 0.0
         self._updated_at: float | None = None
@@ -22,16 +24,24 @@
         self._held: collections.deque[tuple[float, int]] = collections.deque()
         self._held_count = 0
 
-    def set_limit(self, rate_per_s: float, capacity: float, now: float) -> None:
+    def set_limit(
+        self,
+        rate_per_s: float,
+        capacity: float,
+        now: float,
+        valid_until: float = math.inf,
+    ) -> None:
         """Changes the limit; tokens above the new capacity are dropped.
 
         Args:
             rate_per_s: Tokens added per second.
             capacity: Maximum number of tokens, with those lent for later use.
             now: Current time, in seconds.
+            valid_until: When the rate ends, in seconds, unless it is set again.
         """
         self._refill(now)
         self._rate_per_s = rate_per_s
+        self._rate_until = valid_until
         self._capacity = capacity
         self._clamp()
 
@@ -100,7 +110,7 @@
         self._add_tokens(now)
 
     def _add_tokens(self, until: float) -> None:
-        elapsed_s = max(0.0, until - self._updated_at)
+        elapsed_s = max(0.0, min(until, self._rate_until) - self._updated_at)
         self._updated_at = max(until, self._updated_at)
         self._tokens += elapsed_s * self._rate_per_s
         self._clamp()
--- a/medlardoor/teams/lender.py
+++ b/medlardoor/teams/lender.py
@@ -20,6 +20,11 @@
 __all__ = ["Lender", "PledgeChannel"]
 
 
+# Shares are counted again this long before a pledge may expire, in seconds, so
+# that buckets go on to fill while pledges are renewed. It is longer than the
+# pause between two calls of `Lender.refresh`.
+_RECOUNT_MARGIN_S = 0.25
+
 # Number of answers to pledges whose time is kept, for each channel.
 _KEPT_ANSWERS = 16
 
@@ -180,19 +185,7 @@
 
     def share(self, shard: int, now: float) -> float:
         """Part of the limits of a shard that this lender may lend, 0 to 1."""
-        cached = self._shares.get(shard)
-        if cached is not None and now < cached.valid_until:
-            return cached.value
-        ends = [
-            pledge.valid_until
-            for pledge in self._pledges.values()
-            if shard in pledge.shards and now < pledge.valid_until
-        ]
-        if not ends or not self.is_settled(now):
-            return 0.0
-        value = len(ends) / max(len(ends), self._members.count(now))
-        self._shares[shard] = _Share(value, min(ends))
-        return value
+        return self._counted_share(shard, now).value
 
     def refresh(
         self,
@@ -200,17 +193,19 @@
         teams: collections.abc.Iterable[keys.Team],
         now: float,
     ) -> None:
-        """Fills the buckets of a shard; called several times a second.
+        """Updates the buckets of a shard; called several times a second.
 
-        Without calls before its first request, a team would have no burst.
+        Without calls before its first request, a team would have no burst, and
+        buckets would go on to fill when pledges have moved elsewhere.
 
         Args:
             shard: The shard.
             teams: All its teams with a limit.
             now: Current time, in seconds.
         """
-        if self.share(shard, now) > 0:
-            for team in teams:
+        is_lending = self.share(shard, now) > 0
+        for team in teams:
+            if is_lending or team.name in self._buckets:
                 self._bucket(team, shard, now)
 
     def lend(
@@ -264,6 +259,22 @@
         for name in [n for n in self._buckets if n not in teams]:
             del self._buckets[name]
 
+    def _counted_share(self, shard: int, now: float) -> _Share:
+        """Counts the valid pledges of a shard, or returns the last count."""
+        cached = self._shares.get(shard)
+        if cached is not None and now < cached.valid_until - _RECOUNT_MARGIN_S:
+            return cached
+        ends = [
+            pledge.valid_until
+            for pledge in self._pledges.values()
+            if shard in pledge.shards and now < pledge.valid_until
+        ]
+        if not ends or not self.is_settled(now):
+            return _Share(0.0, now)
+        value = len(ends) / max(len(ends), self._members.count(now))
+        self._shares[shard] = _Share(value, min(ends))
+        return self._shares[shard]
+
     def _bucket(
         self, team: keys.Team, shard: int, now: float
     ) -> buckets.TokenBucket:
@@ -271,8 +282,13 @@
         bucket = self._buckets.get(team.name)
         if bucket is None:
             bucket = self._buckets[team.name] = buckets.TokenBucket()
-        share = self.share(shard, now)
-        bucket.set_limit(team.rate_per_s * share, _capacity(team) * share, now)
+        share = self._counted_share(shard, now)
+        bucket.set_limit(
+            team.rate_per_s * share.value,
+            _capacity(team) * share.value,
+            now,
+            share.valid_until,
+        )
         return bucket
 
 
--- a/medlardoor/teams/tests/test_limits.py
+++ b/medlardoor/teams/tests/test_limits.py
@@ -1,6 +1,7 @@
 """Tests of the limits that nodes keep together, in a simulated fleet."""
 
 import dataclasses
+import math
 
 import hypothesis
 from hypothesis import stateful, strategies
@@ -183,6 +184,14 @@
         if one != other:
             self.world.cuts ^= {frozenset((one, other))}
 
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def isolate_or_join(self, name):
+        pairs = {frozenset((name, other)) for other in NAMES if other != name}
+        if pairs <= self.world.cuts:
+            self.world.cuts -= pairs
+        else:
+            self.world.cuts |= pairs
+
     @stateful.rule(data=strategies.data())
     def hold_or_release_a_link(self, data):
         if self.world.links:
@@ -197,7 +206,7 @@
     def all_nodes_spend(self):
         for node in self.world.nodes.values():
             if node.acts:
-                for _ in range(20):
+                for _ in range(60):
                     node.request()
 
 
@@ -208,7 +217,7 @@
 
 
 def _lend_without_expiry(self, shard, now):
-    return 1.0 if self._pledges else 0.0
+    return lender._Share(1.0 if self._pledges else 0.0, math.inf)
 
 
 def _pledge_anywhere(self, preferred, now):
@@ -217,9 +226,9 @@
     return _original_update(self, preferred, now)
 
 
-def _fill_when_raised(self, rate_per_s, capacity, now):
+def _fill_when_raised(self, rate_per_s, capacity, now, valid_until=math.inf):
     raised = max(0.0, capacity - self._capacity)
-    _original_set_limit(self, rate_per_s, capacity, now)
+    _original_set_limit(self, rate_per_s, capacity, now, valid_until)
     self._tokens = min(self._tokens + raised, capacity)
 
 
@@ -230,7 +239,7 @@
 @pytest.mark.parametrize(
     ("owner", "name", "mutant"),
     [
-        (lender.Lender, "share", _lend_without_expiry),
+        (lender.Lender, "_counted_share", _lend_without_expiry),
         (pledger.Pledger, "update", _pledge_anywhere),
         (buckets.TokenBucket, "set_limit", _fill_when_raised),
     ],
@@ -269,3 +278,30 @@
     assert found.share(0, 600.2) == 0.5
     found.forget_member("b", 600.2)
     assert found.share(0, 600.2) == 1.0
+
+
+def test_lender_that_regains_shares_has_no_burst():
+    """Shares that were away fill the bucket as if they had been there."""
+    settings = dataclasses.replace(world_module.SETTINGS, settle_s=0.0)
+    team = world_module.make_team()
+    found = lender.Lender(settings)
+    channel = found.open_channel("a")
+
+    def pledge(shards, now):
+        for _ in range(2):
+            found.record_pledge(channel, shards, channel.answer_count, now)
+        found.refresh(0, [team], now)
+
+    def spend(now):
+        return sum(found.lend(team, 0, True, now).is_granted for _ in range(99))
+
+    pledge([0], 0.0)
+    pledge([0], 1.0)
+    assert spend(1.1) == 50
+    pledge([], 1.2)
+    pledge([0], 60.0)
+    assert spend(60.1) <= 5
+    # The same after a pledge that has expired.
+    found.refresh(0, [team], 62.0)
+    pledge([0], 120.0)
+    assert spend(120.1) <= 5
