Update the buckets of a lender only when its shares change

Cause: each node updated the buckets of all teams ten times a second, also those that it does not lend for.

Change: buckets are updated when the shares of their shard were counted anew, and dropped when there are none.

--- a/medlardoor/teams/lender.py
+++ b/medlardoor/teams/lender.py
@@ -41,6 +41,9 @@
     valid_until: float
 
 
+_NO_SHARE = _Share(0.0, -math.inf)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class PledgeChannel:
     """Lender's side of the exchange of pledges on one link.
@@ -73,6 +76,8 @@
         self._channels: dict[str, PledgeChannel] = {}
         # Shares of shards, until a pledge changes or expires.
         self._shares: dict[int, _Share] = {}
+        # Shares for which the buckets were updated last.
+        self._refreshed: dict[int, _Share] = {}
         self._buckets: dict[str, buckets.TokenBucket] = {}
         self._is_stopped = False
         self._has_settled = False
@@ -203,10 +208,16 @@
             teams: All its teams with a limit.
             now: Current time, in seconds.
         """
-        is_lending = self.share(shard, now) > 0
+        share = self._counted_share(shard, now)
+        if share is self._refreshed.get(shard):
+            return
+        self._refreshed[shard] = share
         for team in teams:
-            if is_lending or team.name in self._buckets:
+            if share.value > 0:
                 self._bucket(team, shard, now)
+            else:
+                # A bucket without shares is empty.
+                self._buckets.pop(team.name, None)
 
     def lend(
         self, team: keys.Team, shard: int, is_urgent: bool, now: float
@@ -255,9 +266,10 @@
         self._bucket(team, shard, now).give_back(count, now)
 
     def retain(self, teams: collections.abc.Container[str]) -> None:
-        """Drops the state of teams that are not in the document any more."""
+        """Drops the state of teams that are not in a new document."""
         for name in [n for n in self._buckets if n not in teams]:
             del self._buckets[name]
+        self._refreshed.clear()
 
     def _counted_share(self, shard: int, now: float) -> _Share:
         """Counts the valid pledges of a shard, or returns the last count."""
@@ -270,7 +282,7 @@
             if shard in pledge.shards and now < pledge.valid_until
         ]
         if not ends or not self.is_settled(now):
-            return _Share(0.0, now)
+            return _NO_SHARE
         value = len(ends) / max(len(ends), self._members.count(now))
         self._shares[shard] = _Share(value, min(ends))
         return self._shares[shard]
