Close the link to a lender that does not answer

Statuses still came, and without tokens the nodes sent no calls, so nothing probed the links.

Ruled out: load alone.

Change: a link whose lender answers no pledge for 2.5 s is closed and dialled again. A stall of this process and a planned stop of the lender do not count.

--- a/medlardoor/mesh/pledging.py
+++ b/medlardoor/mesh/pledging.py
@@ -17,6 +17,11 @@
 _LOG = logbook.Logger("lending")
 
 
+# A longer pause between two ticks, in seconds, means that this process was
+# stalled and could not read the answers of lenders.
+STALL_THRESHOLD_S = 0.5
+
+
 class PledgeExchange:
     """Pledges the shares of this node, and records those of other nodes.
 
@@ -51,6 +56,7 @@
         self._channels: dict[links.Link, lender_module.PledgeChannel] = {}
         self._own_channel = lender.open_channel(self._instance)
         self._next_pledge_at = 0.0
+        self._last_tick_at = 0.0
         self._last_preferred: list[str | None] = []
         self._lent_shards: set[int] = set()
 
@@ -70,6 +76,11 @@
             now: Current time, in seconds.
         """
         self._check_readiness(now)
+        if now - self._last_tick_at > STALL_THRESHOLD_S:
+            self._pledger.restart_waiting(now)
+        self._last_tick_at = now
+        for lender in self._pledger.overdue(now):
+            self._abort_link(lender)
         if (
             now >= self._next_pledge_at
             or self._preferred_lenders() != self._last_preferred
@@ -176,6 +187,16 @@
             self._send_pledges(now)
         self._log_lending(now)
 
+    def _abort_link(self, lender: str) -> None:
+        """Closes the link to a lender that does not answer."""
+        self._pledger.link_closed(lender)
+        link = self._roster.open_link(lender)
+        if link is not None:
+            logs.log_event(
+                _LOG, logbook.WARNING, "lender_silent", instance=lender
+            )
+            link.abort()
+
     def _preferred_lenders(self) -> list[str | None]:
         """Lender that each shard should have."""
         return [
--- a/medlardoor/mesh/tests/test_lending.py
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -243,3 +243,24 @@
         stopping = group.members.pop("s1")
         stopping.stop.set()
         await _wait_until_lent(group)
+
+
+async def test_link_that_fails_towards_the_lender_is_closed():
+    """A team is refused for good at a node whose messages are lost.
+
+    Without tokens the node sends no calls, so no call shows that the link
+    works in one direction only.
+    """
+    limits = dataclasses.replace(LIMITS, answer_timeout_s=0.5)
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=limits
+    ) as group:
+        await _wait_until_lent(group)
+        (name,) = sharding.rank_lenders(0, group.members, 1)
+        other = next(m for n, m in group.members.items() if n != name)
+        link = other.node._fleet.roster.open_link(name)
+        link.send = lambda frame: True
+        await group_module.wait_until(
+            lambda: other.node._fleet.roster.open_link(name) not in (None, link)
+        )
+        await _wait_until_lent(group)
--- a/medlardoor/teams/pledger.py
+++ b/medlardoor/teams/pledger.py
@@ -36,11 +36,14 @@
 
     Attributes:
         sent: Shards of the pledges without an answer, in order.
+        waiting_since: When the oldest of them was sent or the last answer
+            arrived, in seconds.
         answered_count: Number of answers received.
         answered_at: When the last answer arrived, in seconds.
     """
 
     sent: list[frozenset[int]] = dataclasses.field(default_factory=list)
+    waiting_since: float = 0.0
     answered_count: int = 0
     answered_at: float = 0.0
 
@@ -96,7 +99,7 @@
                 for shard, state in enumerate(self._shards)
                 if state.lender == lender == preferred[shard]
             )
-            pledges.append(self._pledge(lender, shards))
+            pledges.append(self._pledge(lender, shards, now))
         return pledges
 
     def answered(self, lender: str, now: float) -> bool:
@@ -116,6 +119,7 @@
         is_due = state.answered_count == 0
         state.answered_count += 1
         state.answered_at = now
+        state.waiting_since = now
         answered_shards = state.sent.pop(0)
         outstanding = answered_shards.union(*state.sent)
         for shard, shard_state in enumerate(self._shards):
@@ -125,8 +129,31 @@
                 shard_state.counts_until = 0.0
         return is_due
 
+    def overdue(self, now: float) -> list[str]:
+        """Lenders that do not answer, although their links may be open.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        latest = now - self._settings.answer_timeout_s
+        return [
+            lender
+            for lender, state in self._lenders.items()
+            if state.sent and state.waiting_since < latest
+        ]
+
+    def restart_waiting(self, now: float) -> None:
+        """Gives lenders more time after this process was stalled.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        for state in self._lenders.values():
+            state.waiting_since = now
+
     def released(self, lender: str) -> None:
         """Records that a lender has stopped and counts no share any more."""
+        self._lenders.pop(lender, None)
         for state in self._shards:
             if state.lender == lender:
                 state.counts_until = 0.0
@@ -138,8 +165,12 @@
         """
         self._lenders.pop(lender, None)
 
-    def _pledge(self, lender: str, shards: frozenset[int]) -> Pledge:
+    def _pledge(
+        self, lender: str, shards: frozenset[int], now: float
+    ) -> Pledge:
         state = self._lenders.setdefault(lender, _LenderState())
+        if not state.sent:
+            state.waiting_since = now
         state.sent.append(shards)
         if state.answered_count:
             valid_until = state.answered_at + self._settings.pledge_valid_s
--- a/medlardoor/teams/settings.py
+++ b/medlardoor/teams/settings.py
@@ -20,6 +20,9 @@
         pledge_interval_s: Pause between two pledges, in seconds.
         pledge_valid_s: Time for which a pledge counts after the lender has sent
             the stamp that it repeats, in seconds. Two pledges may be lost.
+        answer_timeout_s: Time without an answer to a pledge after which the
+            link to the lender is closed, in seconds: it may work in one
+            direction only.
         request_timeout_s: Longest wait for the answer of a lender, or for a
             lender, in seconds.
         hold_s: Time for which a node may keep tokens for requests to come, in
@@ -39,6 +42,7 @@
     standby_links: int = 2
     pledge_interval_s: float = 0.4
     pledge_valid_s: float = 1.3
+    answer_timeout_s: float = 2.5
     request_timeout_s: float = 0.3
     hold_s: float = 0.2
     reserve_share: float = 0.2
--- a/medlardoor/teams/tests/test_handover.py
+++ b/medlardoor/teams/tests/test_handover.py
@@ -1,6 +1,7 @@
 """Exhaustive search of short schedules of two nodes that hand lending over."""
 
 import copy
+import dataclasses
 
 import pytest
 
@@ -93,3 +94,20 @@
     monkeypatch.setattr(pledger.Pledger, "update", without_waiting)
     with pytest.raises(AssertionError, match="limit exceeded"):
         _explore(_calm_start(), DEPTH)
+
+
+def test_silent_lender_is_overdue():
+    """A link that works in one direction only is never closed."""
+    settings = dataclasses.replace(world_module.SETTINGS, answer_timeout_s=1.0)
+    found = pledger.Pledger(settings)
+    for now in (0.0, 0.4, 0.8):
+        found.update(["b"], now)
+    assert found.overdue(0.9) == []
+    assert found.overdue(1.1) == ["b"]
+    found.restart_waiting(1.1)
+    assert found.overdue(1.2) == []
+    found.answered("b", 1.5)
+    assert found.overdue(2.4) == []
+    # A lender that stops as planned is not taken for a silent one.
+    found.released("b")
+    assert found.overdue(9.0) == []
