Show how old a node's knowledge of the document is

Callers saw requests handled by an older document than the confirmed one. Nothing told a watch that is silent from one without news, nor how long a failed call had waited. The metrics now have the time since the store last answered and the watches by outcome, and store_lost has waited_ms and the revision in force. No decision changes.

--- a/medlardoor/mesh/documents.py
+++ b/medlardoor/mesh/documents.py
@@ -1,7 +1,9 @@
 """Adoption of the route document; a newer revision replaces an older one."""
 
 import abc
+import collections
 import collections.abc
+import enum
 import random
 
 import anyio
@@ -12,7 +14,12 @@
 from medlardoor.config import routes as routes_module
 from medlardoor.store import client
 
-__all__ = ["DocumentDecoder", "DocumentHolder", "DocumentWatch"]
+__all__ = [
+    "DocumentDecoder",
+    "DocumentHolder",
+    "DocumentWatch",
+    "WatchOutcome",
+]
 
 _LOG = logbook.Logger("documents")
 
@@ -154,6 +161,14 @@
         return True
 
 
+class WatchOutcome(enum.Enum):
+    """How a watch of the document ended."""
+
+    CHANGED = "changed"
+    UNCHANGED = "unchanged"
+    FAILED = "failed"
+
+
 class DocumentWatch:
     """Watches the stored document and offers each change to the holder.
 
@@ -180,17 +195,40 @@
         self._is_watching = False
         self._generator = generator
         self._is_reachable: bool | None = None
+        self._confirmed_at: float | None = None
+        self._outcomes: collections.Counter[WatchOutcome] = (
+            collections.Counter()
+        )
 
     @property
     def is_watching(self) -> bool:
         """Whether this node watches the document and the store responds."""
         return self._is_watching
 
+    @property
+    def outcomes(self) -> collections.Counter[WatchOutcome]:
+        """Number of watches by how they ended."""
+        return self._outcomes
+
+    def confirmed_age_s(self, now: float) -> float | None:
+        """Time since the store last answered a read or a watch, in seconds.
+
+        Args:
+            now: Current time, in seconds.
+
+        Returns:
+            The time; None if the store has not answered yet.
+        """
+        if self._confirmed_at is None:
+            return None
+        return now - self._confirmed_at
+
     async def run(self) -> None:
         """Reads the document and watches it until cancelled."""
         pause_s = MIN_RETRY_PAUSE_S
         version = 0
         while True:
+            called_at = anyio.current_time()
             if version == 0:
                 read = await self._store.read(self._key)
             else:
@@ -198,17 +236,23 @@
                     version = 0
                     continue
                 version = max(version, self._holder.revision)
+                called_at = anyio.current_time()
                 read = await self._store.watch(
                     self._key, version, WATCH_TIMEOUT_S
                 )
+                self._count(read)
+            answered_at = anyio.current_time()
             self._is_watching = read.is_ok()
             if read.is_err():
-                self._log_reachability(False, read.err_value.message)
+                self._log_reachability(
+                    False, read.err_value.message, answered_at - called_at
+                )
                 version = 0
                 await anyio.sleep(pause_s * self._generator.uniform(0.7, 1.3))
                 pause_s = min(MAX_RETRY_PAUSE_S, pause_s * 2)
                 continue
-            self._log_reachability(True, "")
+            self._confirmed_at = answered_at
+            self._log_reachability(True, "", answered_at - called_at)
             pause_s = MIN_RETRY_PAUSE_S
             stored = read.ok_value
             if stored is not None:
@@ -238,14 +282,42 @@
         self._log_watch("watch_resumed")
         return False
 
+    def _count(
+        self,
+        watched: result.Result[
+            client.StoredObject | None, errors.StoreUnavailable
+        ],
+    ) -> None:
+        outcome = WatchOutcome.FAILED
+        if watched.is_ok():
+            outcome = WatchOutcome.UNCHANGED
+            if watched.ok_value is not None:
+                outcome = WatchOutcome.CHANGED
+        self._outcomes[outcome] += 1
+
     def _log_watch(self, event: str) -> None:
         revision = self._holder.revision
         logs.log_event(_LOG, logbook.INFO, event, revision=revision)
 
-    def _log_reachability(self, is_reachable: bool, detail: str) -> None:
-        """Logs when the store becomes reachable or unreachable."""
+    def _log_reachability(
+        self, is_reachable: bool, detail: str, waited_s: float
+    ) -> None:
+        """Logs when the store becomes reachable or unreachable.
+
+        Args:
+            is_reachable: Whether the last call was answered.
+            detail: Why the last call failed.
+            waited_s: Duration of the last call, in seconds.
+        """
         if is_reachable is self._is_reachable:
             return
         self._is_reachable = is_reachable
         event = "store_regained" if is_reachable else "store_lost"
-        logs.log_event(_LOG, logbook.WARNING, event, detail=detail)
+        logs.log_event(
+            _LOG,
+            logbook.WARNING,
+            event,
+            detail=detail,
+            waited_ms=int(waited_s * 1_000),
+            revision=self._holder.revision,
+        )
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -383,6 +383,7 @@
             self._fleet,
             self._dispatcher,
             self._recorder,
+            self._watch,
             {
                 "document_revision": self._holder.revision,
                 "buffered_bytes": self._buffers.used_bytes,
--- a/medlardoor/mesh/node_metrics.py
+++ b/medlardoor/mesh/node_metrics.py
@@ -1,6 +1,8 @@
 """Metrics of a node in the Prometheus exposition format."""
 
-from medlardoor.mesh import dispatch, local_upstream, recording
+import asyncio
+
+from medlardoor.mesh import dispatch, documents, local_upstream, recording
 from medlardoor.mesh import fleet as fleet_module
 
 __all__ = ["render"]
@@ -11,6 +13,7 @@
     fleet: fleet_module.Fleet,
     dispatcher: dispatch.Dispatcher,
     recorder: recording.Recorder,
+    watch: documents.DocumentWatch,
     gauges: dict[str, int],
     lent_shares: dict[int, float],
 ) -> str:
@@ -21,6 +24,7 @@
         fleet: The other nodes.
         dispatcher: Handles the requests of callers.
         recorder: Counters of requests.
+        watch: Watch of the route document.
         gauges: Further gauges by name.
         lent_shares: Part of the limits of each shard that this node may lend.
     """
@@ -44,6 +48,13 @@
     for reason, count in local.breaks.items():
         label = f'{{reason="{reason.value}"}}'
         lines.append(f"medlardoor_upstream_breaks_total{label} {count}")
+    for outcome, count in watch.outcomes.items():
+        label = f'{{outcome="{outcome.value}"}}'
+        lines.append(f"medlardoor_document_watches_total{label} {count}")
+    confirmed_age_s = watch.confirmed_age_s(asyncio.get_running_loop().time())
+    if confirmed_age_s is not None:
+        age_ms = int(confirmed_age_s * 1_000)
+        lines.append(f"medlardoor_document_confirmed_age_ms {age_ms}")
     for shard, share in lent_shares.items():
         if share:
             label = f'{{shard="{shard}"}}'
