--- a/medlardoor/mesh/tests/test_document_watch.py
+++ b/medlardoor/mesh/tests/test_document_watch.py
@@ -14,6 +14,9 @@
 
 KEY = group_module.DOCUMENT_KEY
 
+# Time after its confirmation within which a change is in force, in seconds.
+CONFIG_BOUND_S = 2.0
+
 # Time that the client allows for an answer, in seconds.
 ANSWER_TIMEOUT_S = 1.5
 
@@ -97,18 +100,38 @@
 
 
 def _run(scenario):
-    """Runs a scenario beside a watch, under a clock that skips waits."""
+    """Runs a scenario beside a watch, under a clock that skips waits.
+
+    Returns:
+        What the scenario returns.
+    """
 
     async def main():
         tested = Watch()
         async with anyio.create_task_group() as group:
             group.start_soon(tested.watch.run)
             await tested.wait_for(1)
-            await scenario(tested)
+            returned = await scenario(tested)
             group.cancel_scope.cancel()
+        return returned
 
     clock = trio.testing.MockClock(autojump_threshold=0)
-    anyio.run(main, backend="trio", backend_options={"clock": clock})
+    return anyio.run(main, backend="trio", backend_options={"clock": clock})
+
+
+def test_silent_watch_does_not_delay_a_change():
+    """A watch on a silent connection is taken for one without a change."""
+
+    async def scenario(tested):
+        # A change starts the watches of all nodes at the same moment.
+        await tested.wait_for(tested.publish())
+        tested.store.silence()
+        await anyio.sleep(0.1)
+        published_at = anyio.current_time()
+        return await tested.wait_for(tested.publish()) - published_at
+
+    delay_s = _run(scenario)
+    assert delay_s <= CONFIG_BOUND_S, f"in force after {delay_s:.1f} s"
 
 
 def test_outcomes_of_watches_are_counted():
@@ -119,12 +142,12 @@
         await tested.wait_for(tested.publish())
         tested.store.silence()
         await anyio.sleep(documents.WATCH_TIMEOUT_S + ANSWER_TIMEOUT_S + 0.1)
-        outcomes = tested.watch.outcomes
-        assert outcomes[documents.WatchOutcome.UNCHANGED] >= 2
-        assert outcomes[documents.WatchOutcome.CHANGED] == 1
-        assert outcomes[documents.WatchOutcome.FAILED] == 1
+        return tested.watch.outcomes
 
-    _run(scenario)
+    outcomes = _run(scenario)
+    assert outcomes[documents.WatchOutcome.UNCHANGED] >= 2
+    assert outcomes[documents.WatchOutcome.CHANGED] == 1
+    assert outcomes[documents.WatchOutcome.FAILED] == 1
 
 
 def test_age_of_the_last_answer_grows_while_a_watch_waits():
@@ -134,7 +157,6 @@
         await tested.wait_for(tested.publish())
         before = tested.watch.confirmed_age_s(anyio.current_time())
         await anyio.sleep(0.5)
-        after = tested.watch.confirmed_age_s(anyio.current_time())
-        assert after - before == pytest.approx(0.5)
+        return tested.watch.confirmed_age_s(anyio.current_time()) - before
 
-    _run(scenario)
+    assert _run(scenario) == pytest.approx(0.5)
--- a/medlardoor/platform/tests/test_store.py
+++ b/medlardoor/platform/tests/test_store.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import random
+import urllib.parse
 
 import anyio
 import pytest
@@ -12,6 +13,7 @@
 from medlardoor.platform import settings as platform_settings
 from medlardoor.platform import store
 from medlardoor.platform.tests import test_settings
+from medlardoor.soak import relay
 from medlardoor.standins import object_store
 
 pytestmark = pytest.mark.anyio
@@ -102,6 +104,24 @@
     assert (await client.watch("config/main", version, 0.05)).unwrap() is None
 
 
+async def test_silent_idle_connection_is_not_used_again(standin):
+    """A call hangs on an idle connection that has stopped working."""
+    standin.put("config", "main", {"n": 1})
+    async with _serve(standin) as direct:
+        target = urllib.parse.urlsplit(direct._base)
+        between = relay.Relay((target.hostname, target.port))
+        await between.listen("127.0.0.1", 0)
+        host, port = between._server.sockets[0].getsockname()
+        client = store.PlatformStore(settings.Address(host, port))
+        await client.read("config/main")
+        between.silence()
+        await anyio.sleep(1.0)
+        read = await client.read("config/main")
+        await client.aclose()
+        between.close()
+        assert read.is_ok(), read.err_value.message
+
+
 async def _calls_of_watches(client, standin, version):
     """Number of calls that watching without a change takes in 0.3 s."""
     before = standin.calls
--- a/medlardoor/soak/relay.py
+++ b/medlardoor/soak/relay.py
@@ -58,6 +58,12 @@
             near.reset()
             far.reset()
 
+    def silence(self) -> None:
+        """Drops all further bytes on the open connections; new ones work."""
+        for near, far in self._pairs:
+            near.ends_late()
+            far.ends_late()
+
     async def connect(self, near: "_Side") -> None:
         """Opens the second half of a connection."""
         if self.fault is RelayFault.REFUSE:
