Do not reuse store connections that have been idle for long

Callers saw requests handled by an older document than the confirmed one. Connections to the store can stop working without a reset.

A connection that has been idle for 0.5 s is no longer used.

--- a/medlardoor/store/calls.py
+++ b/medlardoor/store/calls.py
@@ -11,6 +11,10 @@
 
 _MAX_CONNECTIONS = 4
 
+# Idle time after which a connection is not used again, in seconds. It may have
+# stopped working without a reset, which only a call that hangs would show.
+_MAX_IDLE_S = 0.5
+
 
 class StoreCaller:
     """HTTP client based on `httpcore` that never retries a call.
@@ -23,7 +27,9 @@
     def __init__(self, timeout_s: float):
         self._timeout_s = timeout_s
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS, retries=0
+            max_connections=_MAX_CONNECTIONS,
+            keepalive_expiry=_MAX_IDLE_S,
+            retries=0,
         )
 
     async def aclose(self) -> None:
