End a silent watch of the document within the time for a change

Callers saw requests handled by an older document than the confirmed one, up to 7 s after its confirmation, where 2 s are allowed. A watch without a change and one whose connection has stopped working look alike, and a node waited 5.5 s before it gave a watch up. All watching nodes waited equally long, because each change ends and restarts all watches at the same moment.

The duration of a watch and the time until it is overdue now follow from the bound of the platform (terms.bounds.config): half of it and a quarter, so 1.0 s and 0.5 s at 2 s; the rest is for the read that follows and the links. Ruled out: staggered watches alone, which still leave a change late when all connections fail at once.

--- a/medlardoor/mesh/documents.py
+++ b/medlardoor/mesh/documents.py
@@ -12,6 +12,7 @@
 
 from medlardoor import errors, logs
 from medlardoor.config import routes as routes_module
+from medlardoor.mesh import settings as settings_module
 from medlardoor.store import client
 
 __all__ = [
@@ -23,10 +24,6 @@
 
 _LOG = logbook.Logger("documents")
 
-# Timeout of one watch call, in seconds. A longer timeout reduces the calls to
-# the store; a shorter one limits how long a silent connection delays a change.
-WATCH_TIMEOUT_S = 4.0
-
 # Pause after a failed call, in seconds; it doubles up to the maximum.
 MIN_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 1.0
@@ -173,6 +170,7 @@
     """Watches the stored document and offers each change to the holder.
 
     Args:
+        settings: Duration of a watch.
         store: The platform's store.
         key: Key of the document.
         holder: Adopts the documents read.
@@ -182,12 +180,14 @@
 
     def __init__(
         self,
+        settings: settings_module.DocumentSettings,
         store: client.ObjectStore,
         key: str,
         holder: DocumentHolder,
         is_covered: collections.abc.Callable[[], bool],
         generator: random.Random,
     ):
+        self._settings = settings
         self._store = store
         self._key = key
         self._holder = holder
@@ -237,10 +237,7 @@
                     continue
                 version = max(version, self._holder.revision)
                 called_at = anyio.current_time()
-                read = await self._store.watch(
-                    self._key, version, WATCH_TIMEOUT_S
-                )
-                self._count(read)
+                read = await self._wait_for_change(version)
             answered_at = anyio.current_time()
             self._is_watching = read.is_ok()
             if read.is_err():
@@ -262,6 +259,31 @@
                 # There is no document yet.
                 await anyio.sleep(MAX_RETRY_PAUSE_S)
 
+    async def _wait_for_change(
+        self, version: int
+    ) -> result.Result[client.StoredObject | None, errors.StoreUnavailable]:
+        """Watches the document once.
+
+        A watch that is overdue has failed: its connection may have stopped
+        working without a reset, and changes would not arrive on it.
+
+        Args:
+            version: Version after which changes are reported.
+
+        Returns:
+            The changed object, or None without a change.
+        """
+        settings = self._settings
+        watched = result.Err(
+            errors.StoreUnavailable(self._key, "watch is overdue")
+        )
+        with anyio.move_on_after(settings.watch_s + settings.overdue_s):
+            watched = await self._store.watch(
+                self._key, version, settings.watch_s
+            )
+        self._count(watched)
+        return watched
+
     async def _wait_while_covered(self) -> bool:
         """Waits while enough other nodes watch the document.
 
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -115,6 +115,7 @@
             generator,
         )
         self._watch = documents.DocumentWatch(
+            settings.documents,
             store,
             document_key,
             self._holder,
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "Address",
+    "DocumentSettings",
     "HeaderNames",
     "LinkSettings",
     "MeshSettings",
@@ -101,6 +102,42 @@
     max_unsent_bytes: int = 16_000_000
 
 
+# Parts of the time in which a change must be in force: the duration of a watch,
+# and how long its answer may be overdue. The rest is for the read that follows
+# a failed watch and for the way to the other nodes.
+_WATCH_PART = 0.5
+_OVERDUE_PART = 0.25
+
+# Lower bound of the duration of a watch, in seconds; it limits the calls to the
+# store.
+_MIN_WATCH_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentSettings:
+    """Settings of the watch of the route document.
+
+    A silent watch looks like one without a change until it is overdue, so its
+    duration follows from the time in which a change must be in force.
+
+    Attributes:
+        in_force_s: Time after its confirmation by the store within which a
+            change must be in force on all nodes, in seconds.
+    """
+
+    in_force_s: float = 2.0
+
+    @property
+    def watch_s(self) -> float:
+        """Duration of one watch, in seconds."""
+        return max(_MIN_WATCH_S, self.in_force_s * _WATCH_PART)
+
+    @property
+    def overdue_s(self) -> float:
+        """Time after its end at which a watch counts as failed, in seconds."""
+        return self.in_force_s * _OVERDUE_PART
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamSettings:
     """Settings of connections to the local upstream.
@@ -171,6 +208,7 @@
         control_address: Listen address for the announcements of the upstream.
         metrics_address: Listen address for metrics; None to serve none.
         headers: Names of HTTP headers.
+        documents: Settings of the watch of the route document.
         links: Settings of links between nodes.
         connections: Settings of connections to the upstream.
         stop: Settings of a planned stop.
@@ -195,6 +233,7 @@
     control_address: Address
     metrics_address: Address | None
     headers: HeaderNames
+    documents: DocumentSettings = DocumentSettings()
     links: LinkSettings = LinkSettings()
     connections: UpstreamSettings = UpstreamSettings()
     stop: StopSettings = StopSettings()
--- a/medlardoor/mesh/tests/test_document_watch.py
+++ b/medlardoor/mesh/tests/test_document_watch.py
@@ -8,14 +8,13 @@
 import trio.testing
 
 from medlardoor import errors
-from medlardoor.mesh import documents
+from medlardoor.mesh import documents, settings
 from medlardoor.mesh.tests import group as group_module
 from medlardoor.store import client, memory
 
 KEY = group_module.DOCUMENT_KEY
 
-# Time after its confirmation within which a change is in force, in seconds.
-CONFIG_BOUND_S = 2.0
+SETTINGS = settings.DocumentSettings(in_force_s=2.0)
 
 # Time that the client allows for an answer, in seconds.
 ANSWER_TIMEOUT_S = 1.5
@@ -82,7 +81,12 @@
         self.store = SilencedStore(self.table)
         self.holder = documents.DocumentHolder(group_module.Decoder())
         self.watch = documents.DocumentWatch(
-            self.store, KEY, self.holder, lambda: False, random.Random(1)
+            SETTINGS,
+            self.store,
+            KEY,
+            self.holder,
+            lambda: False,
+            random.Random(1),
         )
         self.publish()
 
@@ -131,17 +135,17 @@
         return await tested.wait_for(tested.publish()) - published_at
 
     delay_s = _run(scenario)
-    assert delay_s <= CONFIG_BOUND_S, f"in force after {delay_s:.1f} s"
+    assert delay_s <= SETTINGS.in_force_s, f"in force after {delay_s:.1f} s"
 
 
 def test_outcomes_of_watches_are_counted():
     """Nothing shows whether a silent watch or one without news ended."""
 
     async def scenario(tested):
-        await anyio.sleep(2 * documents.WATCH_TIMEOUT_S + 0.5)
+        await anyio.sleep(2 * SETTINGS.watch_s + 0.5)
         await tested.wait_for(tested.publish())
         tested.store.silence()
-        await anyio.sleep(documents.WATCH_TIMEOUT_S + ANSWER_TIMEOUT_S + 0.1)
+        await anyio.sleep(SETTINGS.watch_s + ANSWER_TIMEOUT_S + 0.1)
         return tested.watch.outcomes
 
     outcomes = _run(scenario)
--- a/medlardoor/mesh/tests/test_watching.py
+++ b/medlardoor/mesh/tests/test_watching.py
@@ -5,7 +5,7 @@
 import pytest
 
 from medlardoor.membership import watchers
-from medlardoor.mesh import documents
+from medlardoor.mesh import settings
 from medlardoor.mesh.tests import group as group_module
 from medlardoor.store import memory
 
@@ -15,10 +15,10 @@
 
 
 @pytest.fixture
-async def six(monkeypatch):
+async def six():
     # Shortens the wait for watches in progress when watching pauses.
-    monkeypatch.setattr(documents, "WATCH_TIMEOUT_S", 0.5)
-    async with group_module.run_group(MEMBERS) as group:
+    short = settings.DocumentSettings(in_force_s=1.0)
+    async with group_module.run_group(MEMBERS, documents=short) as group:
         await _until_few_watch(group)
         yield group
 
--- a/medlardoor/platform/settings.py
+++ b/medlardoor/platform/settings.py
@@ -107,6 +107,8 @@
 
 
 class _Bounds(_Model):
+    # Time after its confirmation in which a document must be in force.
+    config: Duration = 2.0
     grace: Duration = 6.0
     budgetRatio: float = 0.2  # noqa: N815
     budgetWindow: Duration = 10.0  # noqa: N815
@@ -187,6 +189,7 @@
         control_address=listen.control,
         metrics_address=_metrics_address(settings),
         headers=names.HEADERS,
+        documents=mesh_settings.DocumentSettings(in_force_s=bounds.config),
         stop=mesh_settings.StopSettings(grace_s=bounds.grace),
         retries=shares.RetryShareSettings(
             window_s=bounds.budgetWindow,
--- a/medlardoor/platform/tests/test_settings.py
+++ b/medlardoor/platform/tests/test_settings.py
@@ -23,6 +23,7 @@
 terms.bounds.budgetRatio=0.2
 terms.bounds.budgetWindow=10s
 terms.bounds.budgetSlack=47
+terms.bounds.config=2500ms
 some.field.of.the.future=1
 """
 
@@ -39,11 +40,24 @@
     assert mesh.caller_address == address("10.1.0.8", 8304)
     assert mesh.metrics_address == address("10.1.0.8", 7635)
     assert mesh.stop.grace_s == 6.0
+    assert mesh.documents.in_force_s == 2.5
     # The nodes keep to a part of the bound by themselves.
     assert mesh.retries.ratio < 0.2
     assert mesh.retries.slack < 47
 
 
+def test_watches_end_within_the_bound():
+    """A silent watch lasts longer than a change may take."""
+    for in_force_s in (0.5, 2.0, 13.0):
+        documents = mesh_settings.DocumentSettings(in_force_s)
+        assert documents.watch_s + documents.overdue_s < in_force_s
+
+
+def test_tiny_bound_does_not_flood_the_store():
+    """A bound of zero makes a node call the store without a pause."""
+    assert mesh_settings.DocumentSettings(0.0).watch_s >= 0.2
+
+
 def test_faults_name_field_and_line():
     """A wrong setting is reported without its place."""
     text = TEXT.replace("10.1.0.8:8304", "nowhere").replace("=6s", "=6h")
