Report at once that a node no longer watches the document

A node that stopped watching the document said so with its next periodic status, 0.4 or 0.8 s later. With the 1.5 s until a silent watch is overdue and 0.3 s until the others check, a change came to them after 2.2 s, where 2.0 s are allowed; worked out, not seen in a play. The status is now sent with the change. test_lost_watch_is_reported_at_once fails with the report removed ([] instead of [True, False]).

--- a/medlardoor/mesh/documents.py
+++ b/medlardoor/mesh/documents.py
@@ -175,6 +175,7 @@
         key: Key of the document.
         holder: Adopts the documents read.
         is_covered: Returns whether enough other nodes watch the document.
+        report_change: Called when this node starts or stops watching.
         generator: Random number generator for the jitter of pauses.
     """
 
@@ -185,6 +186,7 @@
         key: str,
         holder: DocumentHolder,
         is_covered: collections.abc.Callable[[], bool],
+        report_change: collections.abc.Callable[[], None],
         generator: random.Random,
     ):
         self._settings = settings
@@ -192,6 +194,7 @@
         self._key = key
         self._holder = holder
         self._is_covered = is_covered
+        self._report_change = report_change
         self._is_watching = False
         self._generator = generator
         self._is_reachable: bool | None = None
@@ -239,7 +242,7 @@
                 called_at = anyio.current_time()
                 read = await self._wait_for_change(version)
             answered_at = anyio.current_time()
-            self._is_watching = read.is_ok()
+            self._set_watching(read.is_ok())
             if read.is_err():
                 self._log_reachability(
                     False, read.err_value.message, answered_at - called_at
@@ -292,7 +295,7 @@
         """
         if not self._is_covered():
             return False
-        self._is_watching = False
+        self._set_watching(False)
         self._log_watch("watch_paused")
         waited_s = 0.0
         limit_s = FALLBACK_READ_INTERVAL_S * self._generator.uniform(0.7, 1.3)
@@ -304,6 +307,12 @@
         self._log_watch("watch_resumed")
         return False
 
+    def _set_watching(self, is_watching: bool) -> None:
+        """Reports a change at once, so that other nodes take over in time."""
+        if is_watching is not self._is_watching:
+            self._is_watching = is_watching
+            self._report_change()
+
     def _count(
         self,
         watched: result.Result[
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -120,6 +120,7 @@
             document_key,
             self._holder,
             lambda: self._fleet.is_covered,
+            self._fleet.status_changed,
             generator,
         )
         self._presence = presence.Presence(
--- a/medlardoor/mesh/tests/test_document_watch.py
+++ b/medlardoor/mesh/tests/test_document_watch.py
@@ -80,12 +80,14 @@
         self.table = memory.ObjectTable()
         self.store = SilencedStore(self.table)
         self.holder = documents.DocumentHolder(group_module.Decoder())
+        self.reports = []
         self.watch = documents.DocumentWatch(
             SETTINGS,
             self.store,
             KEY,
             self.holder,
             lambda: False,
+            lambda: self.reports.append(self.watch.is_watching),
             random.Random(1),
         )
         self.publish()
@@ -138,6 +140,17 @@
     assert delay_s <= SETTINGS.in_force_s, f"in force after {delay_s:.1f} s"
 
 
+def test_lost_watch_is_reported_at_once():
+    """Other nodes rely on a node that has lost the store for too long."""
+
+    async def scenario(tested):
+        tested.store.silence()
+        await anyio.sleep(SETTINGS.watch_s + SETTINGS.overdue_s + 0.01)
+        return tested.reports
+
+    assert _run(scenario) == [True, False]
+
+
 def test_outcomes_of_watches_are_counted():
     """Nothing shows whether a silent watch or one without news ended."""
 
