Let the soak silence connections and check that documents come into force

It now silences the open connections of all nodes, moves a route right after, and reports requests that an undisturbed node ran by a document that was outdated for 2.5 s.

--- a/medlardoor/soak/callers.py
+++ b/medlardoor/soak/callers.py
@@ -171,6 +171,8 @@
             ledger.refused(attempt)
         elif found.status == 200:
             self._check_whole(attempt, found)
+            if began_calm:
+                ledger.check_document(kind.name, attempt)
 
     def _check_whole(self, attempt: str, found: connections.Answer) -> None:
         own = found.headers.get(names.HEADERS.attempt_id.decode().lower())
--- a/medlardoor/soak/evidence.py
+++ b/medlardoor/soak/evidence.py
@@ -11,6 +11,9 @@
 DRAIN_S = 2.0
 SLACK_S = 0.5
 
+# Time after its confirmation in which a document comes into force, in seconds.
+CONFIG_S = 2.0
+
 # Bound on repeated arrivals at a service, as the platform's settings say.
 BUDGET_RATIO = 0.2
 BUDGET_SLACK = 47
@@ -48,7 +51,7 @@
     REFUSAL = "refusal is true"
     LEAVING = "no work to a leaving upstream"
     STOP = "nothing cut at a planned stop"
-    VERSION = "documents never go back"
+    DOCUMENT = "no node handles requests by an outdated document"
     BUDGET = "retry bound"
     DEADLINE = "no more time than is left"
     RANK = "least urgent refused first"
@@ -86,6 +89,12 @@
         self._requests: dict[str, collections.deque[float]] = (
             collections.defaultdict(collections.deque)
         )
+        # Confirmed documents as times and services, by kind of request.
+        self._confirmed: dict[str, list[tuple[float, str]]] = (
+            collections.defaultdict(list)
+        )
+        # Service that has run a request.
+        self._ran_at_service: dict[str, str] = {}
         self._seen: dict[str, set[str]] = collections.defaultdict(set)
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.findings: list[Finding] = []
@@ -148,6 +157,7 @@
     ) -> None:
         """An upstream begins to work on a request."""
         self._runs[attempt] += 1
+        self._ran_at_service[attempt] = service
         if attempt in self._unsafe and self._runs[attempt] > 1:
             self.report(Promise.ONCE, f"{attempt} runs again at {upstream_id}")
         if attempt in self._refused and attempt in self._unsafe:
@@ -180,6 +190,34 @@
         if count > self._limits[team]:
             self.report(Promise.LIMIT, f"{team}: {count} requests in a window")
 
+    def confirmed(self, kind: str, service: str) -> None:
+        """The store has confirmed a document.
+
+        Args:
+            kind: Kind of request.
+            service: Service that the document sends it to.
+        """
+        self._confirmed[kind].append((self.now_s, service))
+
+    def check_document(self, kind: str, attempt: str) -> None:
+        """Checks that a request of an undisturbed node ran as it should.
+
+        Args:
+            kind: Kind of the request.
+            attempt: Identifier of the request.
+        """
+        sent_at = self._asked_at[attempt]
+        latest = sent_at - CONFIG_S - SLACK_S
+        outdated = [s for at, s in self._confirmed[kind] if at <= latest]
+        allowed = {s for at, s in self._confirmed[kind] if at > latest}
+        allowed.update(outdated[-1:])
+        service = self._ran_at_service.get(attempt)
+        if service is not None and service not in allowed:
+            self.report(
+                Promise.DOCUMENT,
+                f"{attempt} ({kind}) ran at {service}, allowed {allowed}",
+            )
+
     def refused(self, attempt: str) -> None:
         """A caller is told that its request has not run."""
         self._refused.add(attempt)
--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -80,6 +80,7 @@
             self._cut_store,
             self._cut_link,
             self._reset_links,
+            self._silence_connections,
             self._leave_early,
         )
         async with anyio.create_task_group() as group:
@@ -223,6 +224,14 @@
         member.store_relay.reset()
         await asyncio.sleep(0)
 
+    async def _silence_connections(self, member: Member) -> None:
+        """Ends all open connections without a reset, then moves a route."""
+        for each in self._world.members:
+            each.link_relay.silence()
+            each.store_relay.silence()
+        await anyio.sleep(self._generator.uniform(0.0, SHORTEST_S))
+        await self._move_route(member)
+
     async def _leave_early(self, member: Member) -> None:
         member.caller.leaves_early = 0.5
         await anyio.sleep(self._duration())
--- a/medlardoor/soak/tests/test_evidence.py
+++ b/medlardoor/soak/tests/test_evidence.py
@@ -54,6 +54,19 @@
     assert _promises(ledger) == [evidence.Promise.REFUSAL]
 
 
+@pytest.mark.parametrize(("age_s", "is_outdated"), [(2.0, False), (3.0, True)])
+def test_run_by_an_outdated_document(ledger, monkeypatch, age_s, is_outdated):
+    """A node that never takes a confirmed document is not noticed."""
+    ledger.confirmed("order", "orders")
+    ledger.confirmed("order", "stock")
+    monkeypatch.setattr(ledger, "_started_at", ledger._started_at - age_s)
+    ledger.asked("orders", "a", True, 2_000, "t")
+    _run(ledger, "a")
+    ledger.check_document("order", "a")
+    found = [evidence.Promise.DOCUMENT] if is_outdated else []
+    assert _promises(ledger) == found
+
+
 def test_work_for_a_leaving_upstream(ledger, monkeypatch):
     """Work after an acknowledged leaving is not noticed."""
     ledger.acknowledged_leaving("i-1")
--- a/medlardoor/soak/tests/test_relay.py
+++ b/medlardoor/soak/tests/test_relay.py
@@ -39,6 +39,19 @@
         server.close()
 
 
+async def test_silenced_connection_stays_open():
+    """A connection that stops working without a reset is never played."""
+    async with _relayed() as (made, reader, writer, port):
+        made.silence()
+        writer.write(b"b")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(1), 0.05)
+        new_reader, new_writer = await asyncio.open_connection(HOST, port)
+        new_writer.write(b"c")
+        assert await asyncio.wait_for(new_reader.read(1), 1.0) == b"c"
+        new_writer.close()
+
+
 async def test_silence_loses_bytes_for_good():
     """A silenced connection works again after the fault."""
     async with _relayed() as (made, reader, writer, port):
--- a/medlardoor/soak/world.py
+++ b/medlardoor/soak/world.py
@@ -210,6 +210,10 @@
             "clusters": [{"name": name} for name in SERVICES],
         }
         self.store.put(*names.CONFIG_KEY.split("/"), spec)
+        for kind in KINDS:
+            self.ledger.confirmed(
+                kind.name, changes.get(kind.name, kind.service)
+            )
 
     def start_node(self, member: Member) -> None:
         """Starts the node process of a member."""
