Log and count the limit that an upstream names in its answers

An upstream that had named 66.7 requests a second got 136 to 232. No log line or metric said that an upstream names a limit, so that its cause could not be told from a limit that is applied badly. The node beside the upstream now reads the header, logs when the limit begins, changes and ends, and has it and the requests sent as metrics. Nothing is held back yet.

--- a/medlardoor/admission/waiting.py
+++ b/medlardoor/admission/waiting.py
@@ -16,7 +16,13 @@
 import itertools
 import typing
 
-from medlardoor.admission import capacity, levels, service_times, windows
+from medlardoor.admission import (
+    capacity,
+    levels,
+    named_limits,
+    service_times,
+    windows,
+)
 
 __all__ = ["Decision", "Ticket", "AdmissionQueue", "AdmissionQueueSettings"]
 
@@ -130,6 +136,12 @@
             windows.ChainWindow
         )
         self._adapted_at: float | None = None
+        self._named_limit = named_limits.NamedLimit()
+
+    @property
+    def named_limit(self) -> named_limits.NamedLimit:
+        """Limit on the request rate that the upstream names."""
+        return self._named_limit
 
     @property
     def limit(self) -> int:
--- a/medlardoor/mesh/http_messages.py
+++ b/medlardoor/mesh/http_messages.py
@@ -1,6 +1,7 @@
 """Encoding and parsing of HTTP/1.1 messages for callers and upstreams."""
 
 import http
+import re
 
 from medlardoor.calls import exchange
 
@@ -8,6 +9,7 @@
     "CONNECTION_HEADERS",
     "encode_header_lines",
     "encode_request",
+    "parse_decimal",
     "parse_keep_alive_s",
     "reason_phrase",
     "parse_load_slots",
@@ -18,6 +20,9 @@
 # forwarded, and Content-Length, which is set for each message.
 CONNECTION_HEADERS = exchange.HOP_HEADERS | {b"content-length", b"expect"}
 
+# A decimal number without a sign or an exponent, of bounded length.
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
 
@@ -55,6 +60,13 @@
     return None
 
 
+def parse_decimal(value: bytes) -> float | None:
+    """Returns a non-negative decimal number; None if it is invalid."""
+    if _DECIMAL.fullmatch(value.strip()) is None:
+        return None
+    return float(value)
+
+
 def parse_load_slots(load: bytes) -> int:
     """Returns the number of slots in an upstream's load report.
 
--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -158,6 +158,7 @@
     ) -> None:
         """Reports the response of the upstream."""
         self._connection = None
+        self._upstream.observe_response(response, self.ticket.started_at)
         result = self._upstream.to_result(self.run, response)
         self._upstream.return_connection(connection)
         self.finish(result)
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -14,6 +14,7 @@
     chain_bounds,
     crashes,
     http_messages,
+    limit_log,
     local_run,
     runs,
     upstream_pool,
@@ -68,6 +69,7 @@
         self._loop = asyncio.get_running_loop()
         self._admission_queue = waiting.AdmissionQueue(settings.waiting)
         self._bound_log = chain_bounds.ChainBoundLog()
+        self._limit_log = limit_log.LimitLog()
         self._pool = upstream_pool.UpstreamPool(
             settings.connections,
             settings.upstream,
@@ -81,6 +83,7 @@
         self._is_down = False
         self._last_seen_at = self._loop.time()
         self._breaks = collections.Counter()
+        self._requests_sent = 0
 
     @property
     def admission_queue(self) -> waiting.AdmissionQueue:
@@ -92,6 +95,11 @@
         """Number of attempts to open a connection to the upstream."""
         return self._pool.opened
 
+    @property
+    def requests_sent(self) -> int:
+        """Number of requests sent to the upstream."""
+        return self._requests_sent
+
     @property
     def breaks(self) -> collections.Counter[connection_module.BreakReason]:
         """Number of exchanges that ended without a response, by reason."""
@@ -122,6 +130,11 @@
         current = self._register.current
         if current is not None:
             self._admission_queue.set_slots(current.slots)
+        if change in (
+            announcements.UpstreamChange.STARTED,
+            announcements.UpstreamChange.RESTARTED,
+        ):
+            self._admission_queue.named_limit.clear()
         if change is announcements.UpstreamChange.RESTARTED:
             self._pool.close_idle()
             self._crashes.upstream_terminated(now)
@@ -170,12 +183,20 @@
         self._crashes.tick(now)
         self._admission_queue.tick(now)
         self._bound_log.note(self._admission_queue.bounds)
+        self._note_limit()
         self._abort_overdue(now)
         self.process_queue()
         is_silent = now - self._last_seen_at > SILENCE_TIMEOUT_S
         if is_silent and not self._is_down and self._register.is_usable:
             self._mark_down("silent")
 
+    def _note_limit(self) -> None:
+        current = self._register.current
+        self._limit_log.note(
+            "" if current is None else current.upstream_id,
+            self._admission_queue.named_limit.rate_per_s,
+        )
+
     def _abort_overdue(self, now: float) -> None:
         """Aborts runs whose response is overdue, to free their slots."""
         latest = now - self._settings.connections.overdue_s
@@ -250,6 +271,7 @@
     def record_sent(self, handle: local_run.LocalRun) -> None:
         """Records that a request is being sent."""
         run = handle.run
+        self._requests_sent += 1
         self._in_flight[run.attempt_id] = handle
         if not run.idempotent:
             self._started_attempts[run.attempt_id] = None
@@ -308,6 +330,36 @@
         """Returns a connection to the pool."""
         self._pool.return_connection(connection, self._loop.time())
 
+    def observe_response(
+        self,
+        response: connection_module.UpstreamResponse,
+        sent_at: float,
+    ) -> None:
+        """Applies what a response says of the upstream itself.
+
+        Args:
+            response: The response.
+            sent_at: When its request was given a slot, in seconds.
+        """
+        if response.status == MISDIRECTED_STATUS:
+            # Another upstream uses the address.
+            return
+        value = response.header(self._headers.rate_limit.lower())
+        rate_per_s = None
+        if value is not None:
+            rate_per_s = http_messages.parse_decimal(value)
+            if rate_per_s is None:
+                logs.log_event(
+                    _LOG,
+                    logbook.WARNING,
+                    "upstream_limit_invalid",
+                    value=value[:32].decode("latin-1"),
+                )
+                return
+        self._admission_queue.named_limit.observe(
+            rate_per_s, sent_at, self._loop.time()
+        )
+
     def to_result(
         self, run: runs.Run, response: connection_module.UpstreamResponse
     ) -> runs.RunResult:
@@ -358,6 +410,7 @@
                 upstream_id=current.upstream_id,
             )
             self._register.record_replacement(current.upstream_id)
+            self._admission_queue.named_limit.clear()
         self._started_attempts.pop(run.attempt_id, None)
         self._refuse_waiting(errors.Reason.NO_UPSTREAM)
         result.outcome = errors.Outcome.NOT_RUN
--- a/medlardoor/mesh/node_metrics.py
+++ b/medlardoor/mesh/node_metrics.py
@@ -40,7 +40,11 @@
         "admission_level": admission_queue.level,
         "upstream_usable": int(local.is_usable),
         "upstream_connections_total": local.connections_opened,
+        "upstream_requests_total": local.requests_sent,
     }
+    rate_per_s = admission_queue.named_limit.rate_per_s
+    if rate_per_s is not None:
+        values["upstream_named_limit"] = rate_per_s
     lines = [f"medlardoor_{name} {value}" for name, value in values.items()]
     for rank, limit in admission_queue.bounds.items():
         label = f'{{rank="{rank}"}}'
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -41,6 +41,8 @@
         not_run: Set by an upstream that did not run the request.
         caller_service: Service that sends the request.
         team: Team of the caller whose request the chain serves.
+        rate_limit: Requests per second that an upstream in need takes from all
+            nodes together, in each of its responses for as long as it holds.
         credentials: Key of the caller; not sent to upstreams.
         credential_scheme: Authentication scheme that precedes the key.
         call_separator: Separates the attempt identifier of a request from the
@@ -56,6 +58,7 @@
     not_run: bytes
     caller_service: bytes
     team: bytes
+    rate_limit: bytes = b"Rate-Limit"
     credentials: bytes = b"Authorization"
     credential_scheme: bytes = b"Bearer"
     call_separator: bytes = b"."
--- a/medlardoor/platform/names.py
+++ b/medlardoor/platform/names.py
@@ -20,6 +20,7 @@
     not_run=b"X-Medlardoor-Not-Executed",
     caller_service=b"X-Medlardoor-Caller-Service",
     team=b"X-Medlardoor-Tenant",
+    rate_limit=b"Server-Limit",
     credential_scheme=b"Token",
 )
 
