Apply the limit that an upstream names

Ruled out: a limit that each node applies for itself, and a burst of waiting requests at the moment of the naming; neither would leave the arrivals unchanged.

The node beside the upstream is its only sender and so the one place that sees the requests of all nodes. Its admission queue now starts requests by a token bucket at the named rate, in the order of importance. The wait, the admission level and the concurrency that other nodes choose by follow from the rate, so the rest goes to other upstreams or back to its caller as not run. The limit ends with a response that does not name it to a request sent after it was last named, and with the start of another upstream.

--- a/medlardoor/admission/capacity.py
+++ b/medlardoor/admission/capacity.py
@@ -76,7 +76,7 @@
         mean_s = self._service_times.mean_s
         return self._limit / mean_s if mean_s else None
 
-    def target_queue(self, max_wait_s: float) -> float:
+    def target_queue(self, rate: float, max_wait_s: float) -> float:
         """Queue length that bridges random gaps between arrivals.
 
         A share of the slots suffices for any service time. A queue sized for
@@ -84,9 +84,9 @@
         slow.
 
         Args:
+            rate: Calls that can start per second.
             max_wait_s: Longest wait that calls allow, in seconds.
         """
-        rate = self.rate or 0.0
         wait_s = min(_MAX_TARGET_WAIT_S, max_wait_s * _TARGET_WAIT_SHARE)
         slots_queue = self._limit * _TARGET_SLOTS_SHARE
         max_queue = rate * max_wait_s * _MAX_TARGET_WAIT_SHARE
--- a/medlardoor/admission/controller.py
+++ b/medlardoor/admission/controller.py
@@ -320,7 +320,7 @@
         self._level.adapt(
             rate * self._settings.interval_s,
             self._queue.count_from_rank,
-            self._capacity.target_queue(self._avg_max_wait_s),
+            self._capacity.target_queue(rate, self._avg_max_wait_s),
             self._capacity.is_idle(len(self._running)),
         )
         self._retry_hints.update(queued, rate, self._avg_max_wait_s)
--- a/medlardoor/admission/waiting.py
+++ b/medlardoor/admission/waiting.py
@@ -145,8 +145,12 @@
 
     @property
     def limit(self) -> int:
-        """Maximum number of running requests."""
-        return self._limit
+        """Number of requests that other nodes can expect to run here."""
+        if self._named_limit.rate_per_s is None:
+            return self._limit
+        return self._named_limit.bound_concurrency(
+            self._limit, self._service_times.mean_s or 0.0
+        )
 
     @property
     def running(self) -> int:
@@ -192,13 +196,15 @@
         self._level.record(ticket.level)
         if not ticket.nested and ticket.level < self._level.value:
             return Decision.REFUSE
-        if self._can_start(ticket) and not self._count_eligible(ticket.rank):
+        if self._can_start(ticket, now) and not self._count_eligible(
+            ticket.rank
+        ):
             self._start(ticket, now)
             return Decision.START
         if self._limit == 0 or self._waiting >= self._settings.max_waiting:
             return Decision.REFUSE
         max_wait_s = self._max_wait_s(ticket, now)
-        if max_wait_s <= 0 or self._expected_wait_s(ticket) > max_wait_s:
+        if max_wait_s <= 0 or self._expected_wait_s(ticket, now) > max_wait_s:
             return Decision.REFUSE
         ticket.wait_deadline = now + max_wait_s
         ticket.is_waiting = True
@@ -244,14 +250,15 @@
         self._capacity.update(
             self._limit, self._count_eligible(0), elapsed_s, now
         )
-        rate = self._capacity.rate
+        rate = self._named_limit.bound_rate(self._capacity.rate)
         if rate is None:
             return
         self._level.adapt(
             rate * elapsed_s,
             self._count_eligible,
-            self._capacity.target_queue(settings.max_wait_s),
-            self._capacity.is_idle(self._running),
+            self._capacity.target_queue(rate, settings.max_wait_s),
+            self._capacity.is_idle(self._running)
+            and self._named_limit.allows(now),
         )
 
     def start_next(self, now: float) -> Ticket | None:
@@ -265,6 +272,8 @@
         """
         if self._running >= self._limit or not self._waiting:
             return None
+        if not self._named_limit.allows(now):
+            return None
         for rank in sorted(self._queues, reverse=True):
             queue = self._queues[rank]
             while queue:
@@ -274,7 +283,7 @@
                 if queue[0].wait_deadline <= now:
                     # Left in the queue for `expire` to return.
                     break
-                if not self._can_start(queue[0]):
+                if not self._can_start(queue[0], now):
                     break
                 ticket = queue.popleft()
                 self._remove(ticket)
@@ -311,13 +320,14 @@
         self._queues.clear()
         return tickets
 
-    def _expected_wait_s(self, ticket: Ticket) -> float:
+    def _expected_wait_s(self, ticket: Ticket, now: float) -> float:
         """Expected wait of a new request, in seconds."""
         if self._waits_for_window(ticket):
             ahead = len(self._queues.get(ticket.rank, ()))
             return self._windows[ticket.rank].expected_wait_s(ahead)
-        rate = self._capacity.rate
-        if not rate or self._running < self._limit:
+        rate = self._named_limit.bound_rate(self._capacity.rate)
+        has_slot = self._running < self._limit
+        if not rate or (has_slot and self._named_limit.allows(now)):
             return 0.0
         return (self._count_eligible(ticket.rank) + 1) / rate
 
@@ -344,9 +354,9 @@
         """Whether a request can only start after its window opens."""
         return not ticket.nested and not self._is_window_open(ticket.rank)
 
-    def _can_start(self, ticket: Ticket) -> bool:
-        """Whether a slot is free and the request's window is open."""
-        if self._running >= self._limit:
+    def _can_start(self, ticket: Ticket, now: float) -> bool:
+        """Whether the slots, limit and window allow a request to start."""
+        if self._running >= self._limit or not self._named_limit.allows(now):
             return False
         return ticket.nested or self._is_window_open(ticket.rank)
 
@@ -373,6 +383,7 @@
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started_at = now
         self._running += 1
+        self._named_limit.count_request(now)
         if not ticket.nested:
             self._windows[ticket.rank].record_start()
 
--- a/medlardoor/mesh/tests/test_named_limit.py
+++ b/medlardoor/mesh/tests/test_named_limit.py
@@ -65,6 +65,47 @@
     assert statuses == {200: 180}
 
 
+async def test_refused_requests_go_to_an_upstream_without_a_limit():
+    """Requests fail because two of three upstreams name limits."""
+    members = (*STOCK, ("s3", "stock"))
+    async with group_module.run_group(members) as group:
+        group.members["s2"].upstream.extra_headers = LIMIT_LINE
+        group.members["s3"].upstream.delay_s = 0.05
+        upstream = await _name_limit(group)
+        statuses = await _send(group, 90, WINDOW_S)
+        count = len(upstream.runs)
+    assert count <= ALLOWED, f"{count} requests in 2 s, allowed {ALLOWED}"
+    assert statuses == {200: 180}
+
+
+async def test_limit_ends_with_the_need():
+    """An upstream that no longer names its limit still gets few requests."""
+    async with group_module.run_group(ONE_STOCK) as group:
+        upstream = await _name_limit(group)
+        upstream.extra_headers = b""
+        await _send(group, 20, 0.5)
+        statuses = await _send(group, 60, 1.0, "/read/y")
+    assert statuses == {200: 60}
+
+
+async def test_limit_ends_with_the_upstream():
+    """A restarted upstream inherits the limit of its former process."""
+    async with group_module.run_group(ONE_STOCK) as group:
+        upstream = await _name_limit(group)
+        upstream.extra_headers = b""
+        group.members["s1"].send_heartbeat(born_ms=2_000)
+        statuses = await _send(group, 60, 1.0, "/read/y")
+    assert statuses == {200: 60}
+
+
+async def test_invalid_limit_is_ignored():
+    """A limit that is not a number takes the upstream out of use."""
+    async with group_module.run_group(ONE_STOCK) as group:
+        await _name_limit(group, b"Rate-Limit: -1e9\r\n")
+        statuses = await _send(group, 60, 1.0, "/read/y")
+    assert statuses == {200: 60}
+
+
 async def test_limited_upstream_is_used_up_to_its_limit():
     """An upstream without a substitute gets far less than it takes."""
     async with group_module.run_group(ONE_STOCK) as group:
--- a/medlardoor/teams/buckets.py
+++ b/medlardoor/teams/buckets.py
@@ -45,6 +45,16 @@
         self._capacity = capacity
         self._clamp()
 
+    def holds(self, now: float, reserve: float = 0.0) -> bool:
+        """Whether a token is available above the reserve.
+
+        Args:
+            now: Current time, in seconds.
+            reserve: Number of tokens that must remain.
+        """
+        self._refill(now)
+        return self._tokens >= 1.0 + reserve
+
     def take(self, now: float, reserve: float = 0.0) -> bool:
         """Takes one token if more than the reserve is left.
 
@@ -52,8 +62,7 @@
             now: Current time, in seconds.
             reserve: Number of tokens that must remain.
         """
-        self._refill(now)
-        if self._tokens < 1.0 + reserve:
+        if not self.holds(now, reserve):
             return False
         self._tokens -= 1.0
         return True
