Stop sending to an upstream whose answers say that it leaves

An upstream may say in its answers that it leaves, before or without a heartbeat that says so.

Such an answer now has the effect of a draining heartbeat: the upstream gets nothing new, its departure is stored and told to the other nodes, so that a restarted node knows of it. An answer of an earlier start of the upstream, which may still arrive, changes neither the limit nor the use of the present one. With the check removed two of the three tests fail, with the comparison of starts removed the third.

--- a/medlardoor/membership/announcements.py
+++ b/medlardoor/membership/announcements.py
@@ -31,6 +31,14 @@
     draining: bool
     cold_s: float = 0.0
 
+    def is_same_start(self, other: "Announcement | None") -> bool:
+        """Whether another heartbeat is of the same start of the upstream."""
+        return (
+            other is not None
+            and self.upstream_id == other.upstream_id
+            and self.born_ms == other.born_ms
+        )
+
 
 class UpstreamChange(enum.Enum):
     """Effect of an announcement on the state of the upstream."""
--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -6,6 +6,7 @@
 
 from medlardoor import errors
 from medlardoor.admission import waiting
+from medlardoor.membership import announcements
 from medlardoor.mesh import runs
 from medlardoor.mesh import upstream_connection as connection_module
 
@@ -35,6 +36,7 @@
         "buffered_bytes",
         "holds_slot",
         "run",
+        "sent_to",
         "ticket",
         "was_sent",
     )
@@ -59,6 +61,8 @@
         )
         self.holds_slot = False
         self.was_sent = False
+        # Last announcement of the upstream when the request was sent.
+        self.sent_to: announcements.Announcement | None = None
         # Bytes of the body that are counted in the buffer budget.
         self.buffered_bytes = 0
 
@@ -158,7 +162,7 @@
     ) -> None:
         """Reports the response of the upstream."""
         self._connection = None
-        self._upstream.observe_response(response, self.ticket.started_at)
+        self._upstream.observe_response(self, response)
         result = self._upstream.to_result(self.run, response)
         self._upstream.return_connection(connection)
         self.finish(result)
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -28,6 +28,9 @@
 
 MISDIRECTED_STATUS = 421
 
+# Value of the header of an upstream that is about to stop.
+LEAVING_VALUE = b"1"
+
 # While the upstream is down, at most one request per interval is sent to it,
 # to detect whether it accepts connections again. In seconds.
 DOWN_PROBE_INTERVAL_S = 0.3
@@ -52,6 +55,8 @@
         register: State that the upstream has announced.
         crash_tracker: Attributes crashes to requests.
         buffers: Budget for the bytes of bodies held in memory.
+        report_change: Called when a response changes what is known of the
+            upstream.
     """
 
     def __init__(
@@ -60,12 +65,16 @@
         register: announcements.UpstreamRegister,
         crash_tracker: crashes.CrashTracker,
         buffers: buffers_module.BufferBudget,
+        report_change: collections.abc.Callable[
+            [announcements.UpstreamChange], None
+        ],
     ):
         self._settings = settings
         self._headers = settings.headers
         self._register = register
         self._crashes = crash_tracker
         self._buffers = buffers
+        self._report_change = report_change
         self._loop = asyncio.get_running_loop()
         self._admission_queue = waiting.AdmissionQueue(settings.waiting)
         self._bound_log = chain_bounds.ChainBoundLog()
@@ -271,6 +280,7 @@
     def record_sent(self, handle: local_run.LocalRun) -> None:
         """Records that a request is being sent."""
         run = handle.run
+        handle.sent_to = self._register.current
         self._requests_sent += 1
         self._in_flight[run.attempt_id] = handle
         if not run.idempotent:
@@ -332,18 +342,45 @@
 
     def observe_response(
         self,
+        handle: local_run.LocalRun,
         response: connection_module.UpstreamResponse,
-        sent_at: float,
     ) -> None:
         """Applies what a response says of the upstream itself.
 
         Args:
+            handle: The run that the response ends.
             response: The response.
-            sent_at: When its request was given a slot, in seconds.
         """
-        if response.status == MISDIRECTED_STATUS:
-            # Another upstream uses the address.
+        current = self._register.current
+        if (
+            response.status == MISDIRECTED_STATUS
+            or current is None
+            or not current.is_same_start(handle.sent_to)
+        ):
+            # The response is not one of the upstream in use.
             return
+        if response.header(self._headers.leaving.lower()) == LEAVING_VALUE:
+            self._apply_leaving(current)
+        self._apply_limit(response, handle.ticket.started_at)
+
+    def _apply_leaving(self, current: announcements.Announcement) -> None:
+        """Ends the use of the upstream, as if a heartbeat had said so."""
+        change = self._register.deregister(current.upstream_id, current.born_ms)
+        if change is announcements.UpstreamChange.LEAVING:
+            logs.log_event(
+                _LOG,
+                logbook.INFO,
+                "upstream_leaving",
+                upstream_id=current.upstream_id,
+                born_ms=current.born_ms,
+                source="response",
+            )
+            self._report_change(change)
+
+    def _apply_limit(
+        self, response: connection_module.UpstreamResponse, sent_at: float
+    ) -> None:
+        """Applies the limit that a response names, or its absence."""
         value = response.header(self._headers.rate_limit.lower())
         rate_per_s = None
         if value is not None:
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -84,7 +84,11 @@
         self._crashes = crashes.CrashTracker(quarantine, board, self._broadcast)
         self._buffers = buffers.BufferBudget(settings.buffer_bytes)
         self._local = local_upstream.LocalUpstream(
-            settings, self._register, self._crashes, self._buffers
+            settings,
+            self._register,
+            self._crashes,
+            self._buffers,
+            self.handle_upstream_change,
         )
         self._holder = documents.DocumentHolder(decoder)
         self._fleet = fleet.Fleet(
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -43,6 +43,7 @@
         team: Team of the caller whose request the chain serves.
         rate_limit: Requests per second that an upstream in need takes from all
             nodes together, in each of its responses for as long as it holds.
+        leaving: ``1`` in each response of an upstream that is about to stop.
         credentials: Key of the caller; not sent to upstreams.
         credential_scheme: Authentication scheme that precedes the key.
         call_separator: Separates the attempt identifier of a request from the
@@ -59,6 +60,7 @@
     caller_service: bytes
     team: bytes
     rate_limit: bytes = b"Rate-Limit"
+    leaving: bytes = b"Leaving"
     credentials: bytes = b"Authorization"
     credential_scheme: bytes = b"Bearer"
     call_separator: bytes = b"."
--- /dev/null
+++ b/medlardoor/mesh/tests/test_leaving_response.py
@@ -0,0 +1,68 @@
+"""Tests that an upstream whose responses say that it leaves gets no work."""
+
+import asyncio
+
+import anyio
+import pytest
+
+from medlardoor.mesh.tests import group as group_module
+
+pytestmark = pytest.mark.anyio
+
+LEAVING_LINE = b"Leaving: 1\r\n"
+
+
+async def _hear_that_it_leaves(group):
+    """Lets the first upstream say so in a response, without a heartbeat."""
+    leaving = group.members["s1"]
+    leaving.upstream.extra_headers = LEAVING_LINE
+    for number in range(50):
+        await leaving.call("/read/x", f"first{number}")
+        if leaving.upstream.runs:
+            break
+    assert leaving.upstream.runs
+    leaving.upstream.runs.clear()
+    return leaving
+
+
+async def test_upstream_that_names_its_leaving_gets_no_new_requests(group):
+    """Requests reach an upstream after its answers have said that it leaves."""
+    group.members["s2"].send_heartbeat(slots=64)
+    leaving = await _hear_that_it_leaves(group)
+    responses = await asyncio.gather(
+        *(
+            group.members[name].call(f"/read/{n}", f"{name}-{n}")
+            for name in ("s1", "s2", "o1")
+            for n in range(10)
+        )
+    )
+    assert [r.status for r in responses] == [200] * 30
+    assert leaving.upstream.runs == []
+
+
+async def test_leaving_named_in_a_response_outlasts_a_restart(group):
+    """A restarted node uses an upstream whose answers said that it leaves."""
+    member = await _hear_that_it_leaves(group)
+    await group_module.wait_until(
+        lambda: (
+            b"i-s1" in getattr(group.table.read("instances/s1"), "value", b"")
+        )
+    )
+    member.scope.cancel()
+    await member.done.wait()
+    await member.start_node(group.tasks)
+    await group_module.wait_until(lambda: not member.node.register.is_usable)
+
+
+async def test_response_of_a_former_upstream_does_not_end_the_next(group):
+    """A late answer takes the upstream that has taken over out of use."""
+    member = group.members["s1"]
+    member.upstream.extra_headers = LEAVING_LINE
+    member.upstream.delay_s = 0.2
+    async with anyio.create_task_group() as tasks:
+        for number in range(8):
+            tasks.start_soon(member.call, "/read/x", f"late{number}")
+        await group_module.wait_until(lambda: member.upstream.runs)
+        member.send_heartbeat(born_ms=2_000)
+        member.upstream.extra_headers = b""
+    assert member.node.register.is_usable
--- a/medlardoor/platform/names.py
+++ b/medlardoor/platform/names.py
@@ -21,6 +21,7 @@
     caller_service=b"X-Medlardoor-Caller-Service",
     team=b"X-Medlardoor-Tenant",
     rate_limit=b"Server-Limit",
+    leaving=b"Server-Leaving",
     credential_scheme=b"Token",
 )
 
