Respect limits and leavings beside nodes of earlier builds

While nodes are replaced one after the other, an upstream may be beside a node of an earlier build, which applies neither the limit nor the leaving that the upstream's answers name; a node that was just started does not know of a leaving until it is reminded. Each node now remembers both from the answers that it passes on. It avoids an upstream that leaves, and keeps to an equal share of a limit unless the status of the upstream's node says that it applies limits (NodeStatus.applies_limits, a new field).

The share bounds the requests of current nodes only: what an earlier build sends is beyond reach. test_limit_holds_beside_a_node_of_an_earlier_build fails with the bound removed.

--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -359,7 +359,7 @@
             status = peer.status
             if status is None or status.service_name != service:
                 continue
-            if not status.upstream_id or status.leaving:
+            if not peer.upstream_id:
                 continue
             if (
                 peer.silent_intervals(now)
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -338,6 +338,7 @@
             asks_addresses=not self._presence.has_listed,
             watches=self._watch.is_watching,
             lends=self._lending.can_lend or None,
+            applies_limits=True,
         )
 
     def restore_departure(self, upstream_id: str, born_ms: int) -> None:
--- a/medlardoor/mesh/peers.py
+++ b/medlardoor/mesh/peers.py
@@ -7,7 +7,7 @@
 
 from medlardoor import errors
 from medlardoor.membership import neighbours
-from medlardoor.mesh import links, runs, statuses
+from medlardoor.mesh import links, remote_upstream, runs, statuses
 from medlardoor.mesh import settings as settings_module
 from medlardoor.routing import placement
 from medlardoor.wire.generated.medlardoor_messages import ttypes
@@ -37,10 +37,16 @@
     Args:
         node: Instance, service and failure domain of the node.
         address: Address on which the node accepts links.
+        headers: Names of HTTP headers.
+        count_nodes: Returns the number of known nodes, including this one.
     """
 
     def __init__(
-        self, node: neighbours.KnownNode, address: settings_module.Address
+        self,
+        node: neighbours.KnownNode,
+        address: settings_module.Address,
+        headers: settings_module.HeaderNames,
+        count_nodes: collections.abc.Callable[[], int],
     ):
         self.node = node
         self.instance = node.instance
@@ -66,8 +72,20 @@
         self.stopped_lender_incarnation: int | None = None
         # Pause between two status messages of the node, in seconds.
         self.status_interval_s = DEFAULT_STATUS_INTERVAL_S
+        self._remote_upstream = remote_upstream.RemoteUpstream(headers)
+        self._count_nodes = count_nodes
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def upstream_id(self) -> str:
+        """Identifier of the usable upstream of the node; empty without one."""
+        status = self.status
+        if status is None or status.leaving or not status.upstream_id:
+            return ""
+        if self._remote_upstream.has_left(status.upstream_id):
+            return ""
+        return status.upstream_id
+
     def run(
         self,
         run: runs.Run,
@@ -84,11 +102,31 @@
             )
             return handle
         now = self._loop.time()
+        if not self._may_send(now):
+            handle.report(
+                runs.RunResult(errors.Outcome.NOT_RUN, errors.Reason.OVERLOAD)
+            )
+            return handle
         handle.sent_at = now
         self.outstanding_calls[handle.call_id] = handle
         link.send(ttypes.Frame(call=statuses.to_call(run, handle.call_id, now)))
         return handle
 
+    def _may_send(self, now: float) -> bool:
+        """Counts a request if the limit of the upstream allows it.
+
+        Nodes that apply the limits of their upstreams see the requests of all
+        nodes. For others, each node keeps to an equal share.
+        """
+        status = self.status
+        if status is None or status.applies_limits:
+            return True
+        upstream_id = status.upstream_id or ""
+        if not self._remote_upstream.allows(upstream_id, now):
+            return False
+        self._remote_upstream.count_request(upstream_id, now)
+        return True
+
     def probe_has_timed_out(self, now: float) -> bool:
         """Probes the path to the node when an answer is slow to arrive.
 
@@ -147,7 +185,20 @@
         """Reports the result of a run; ignores an unknown call."""
         handle = self.outstanding_calls.pop(answer.id, None)
         if handle is not None:
-            handle.report(statuses.to_result(answer))
+            result = statuses.to_result(answer)
+            self._observe_response(result, handle.sent_at)
+            handle.report(result)
+
+    def _observe_response(self, result: runs.RunResult, sent_at: float) -> None:
+        """Remembers what a response says of the upstream."""
+        if result.outcome is errors.Outcome.ANSWERED and self.status:
+            self._remote_upstream.observe(
+                self.status.upstream_id or "",
+                result.headers,
+                self._count_nodes(),
+                sent_at,
+                self._loop.time(),
+            )
 
     def fail_calls(self, only_idempotent: bool = False) -> None:
         """Reports an unknown outcome for calls in progress.
--- a/medlardoor/mesh/roster.py
+++ b/medlardoor/mesh/roster.py
@@ -84,7 +84,12 @@
             return
         peer = self._peers.get(node.instance)
         if peer is None:
-            peer = peers_module.Peer(node, address)
+            peer = peers_module.Peer(
+                node,
+                address,
+                self._settings.headers,
+                lambda: len(self._peers) + 1,
+            )
             peer.last_reached_at = self._loop.time()
             self._peers[node.instance] = peer
             self._new_peers.append(peer)
--- /dev/null
+++ b/medlardoor/mesh/tests/test_remote_upstream.py
@@ -0,0 +1,90 @@
+"""Tests of what nodes remember of upstreams beside nodes of earlier builds."""
+
+import pytest
+
+from medlardoor.mesh import remote_upstream
+from medlardoor.mesh.tests import group as group_module
+from medlardoor.mesh.tests import test_named_limit
+
+pytestmark = pytest.mark.anyio
+
+MEMBERS = (("s1", "stock"), ("o1", "orders"), ("o2", "orders"))
+
+
+@pytest.fixture
+async def mixed():
+    """A group in which the node of the stock upstream is an earlier build."""
+    async with group_module.run_group(MEMBERS) as group:
+        earlier = group.members["s1"].node
+        earlier._local.observe_response = lambda handle, response: None
+        make_status = earlier._fleet._make_status
+
+        def make_earlier_status():
+            status = make_status()
+            status.applies_limits = None
+            return status
+
+        earlier._fleet._make_status = make_earlier_status
+        await group_module.wait_until(
+            lambda: not any(_applies_limits(group, n) for n in ("o1", "o2"))
+        )
+        yield group
+
+
+def _applies_limits(group, name):
+    peer = group.members[name].node._fleet.roster.peers["s1"]
+    return peer.status.applies_limits
+
+
+async def test_limit_holds_beside_a_node_of_an_earlier_build(mixed):
+    """A limit is exceeded while nodes are replaced one after the other."""
+    upstream = mixed.members["s1"].upstream
+    upstream.extra_headers = test_named_limit.LIMIT_LINE
+    for name in ("o1", "o2"):
+        await mixed.members[name].call("/read/x", f"n{name}")
+    upstream.runs.clear()
+    # Only the requests of current nodes are bounded.
+    del mixed.members["s1"]
+    await test_named_limit._send(mixed, 60, test_named_limit.WINDOW_S)
+    count = len(upstream.runs)
+    assert 10 <= count <= test_named_limit.ALLOWED
+
+
+async def test_leaving_beside_a_node_of_an_earlier_build(mixed):
+    """A request reaches an upstream whose answer has said that it leaves."""
+    upstream = mixed.members["s1"].upstream
+    upstream.extra_headers = b"Leaving: 1\r\n"
+    caller = mixed.members["o1"]
+    assert (await caller.call("/read/x", "a")).status == 200
+    upstream.runs.clear()
+    await group_module.wait_until(
+        lambda: not caller.node._fleet.candidates("stock"), timeout_s=1.0
+    )
+    assert (await caller.call("/read/x", "b")).status == 503
+    assert upstream.runs == []
+
+
+@pytest.fixture
+def remote():
+    return remote_upstream.RemoteUpstream(group_module.HEADERS)
+
+
+def test_next_upstream_has_neither_limit_nor_leaving(remote):
+    """An upstream inherits what the answers of its predecessor said."""
+    lines = b"leaving: 1\r\nrate-limit: 0.5\r\n"
+    remote.observe("i-1", lines, 1, 0.0, 0.1)
+    assert remote.has_left("i-1")
+    assert not remote.allows("i-1", 0.2)
+    assert not remote.has_left("i-2")
+    assert remote.allows("i-2", 0.2)
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [b"", b"x: rate-limit: 1\r\n", b"rate-limit: nan\r\n", b"leaving: 0\r\n"],
+)
+def test_other_headers_limit_nothing(remote, lines):
+    """A header that is not the limit or the leaving is taken for it."""
+    remote.observe("i-1", lines, 1, 0.0, 0.1)
+    assert remote.allows("i-1", 0.1)
+    assert not remote.has_left("i-1")
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -121,6 +121,8 @@
   17: i32 interval_ms,         // Pause between two statuses of the sender.
   18: bool watches,            // The sender watches the store for documents.
   19: bool lends,              // The sender may lend tokens of teams.
+  20: bool applies_limits,     // The sender applies the limit on requests that
+                               // its upstream names in responses.
 }
 
 struct RunCall {
