--- a/medlardoor/soak/callers.py
+++ b/medlardoor/soak/callers.py
@@ -171,9 +171,17 @@
             ledger.refused(attempt)
         elif found.status == 200:
             self._check_whole(attempt, found)
+            self._note_leaving(found)
             if began_calm:
                 ledger.check_document(kind.name, attempt)
 
+    def _note_leaving(self, found: connections.Answer) -> None:
+        """Records that the node has passed on that an upstream leaves."""
+        if names.HEADERS.leaving.decode().lower() in found.headers:
+            self._ledger.acknowledged_leaving(
+                found.headers[upstreams.ID_HEADER.decode().lower()]
+            )
+
     def _check_whole(self, attempt: str, found: connections.Answer) -> None:
         own = found.headers.get(names.HEADERS.attempt_id.decode().lower())
         upstream_id = found.headers.get(
--- a/medlardoor/soak/evidence.py
+++ b/medlardoor/soak/evidence.py
@@ -58,6 +58,7 @@
     RECOVERY = "service is back"
     KEY = "the upstream learns the caller's team and no key"
     LIMIT = "limit of a team over all nodes"
+    NAMED_LIMIT = "limit that an upstream names"
     EXIT = "no process ends by itself"
 
 
--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from medlardoor.soak import relay, upstreams
+from medlardoor.soak import evidence, relay, upstreams
 from medlardoor.soak import world as world_module
 from medlardoor.standins import object_store
 
@@ -25,6 +25,13 @@
 
 RESTART_S = 0.5
 
+# Limit that an upstream names, in requests a second, how long the nodes may
+# take to keep to it, and the window in which they must. Times in seconds.
+NAMED_LIMIT_PER_S = 4.0
+LIMIT_SETTLES_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_ALLOWED = NAMED_LIMIT_PER_S * LIMIT_WINDOW_S * 1.5 + 5
+
 # A pause of the soak's own process that is worth noting, in seconds.
 STALL_S = 0.4
 
@@ -69,7 +76,12 @@
             until_s: End, in seconds of the ledger's time.
         """
         draw = self._generator
-        planned = (self._stop_node, self._hang_up, self._move_route)
+        planned = (
+            self._stop_node,
+            self._hang_up,
+            self._move_route,
+            self._limit_upstream,
+        )
         unplanned = (
             self._kill_node,
             self._freeze_node,
@@ -150,6 +162,29 @@
         target = self._generator.choice(world_module.SERVICES)
         self._world.write_document(browse=target)
 
+    async def _limit_upstream(self, member: Member) -> None:
+        """Lets an upstream name a limit and checks what it then gets.
+
+        A node that was started again, or an upstream that was, has to hear of
+        the limit first.
+        """
+        upstream = member.upstream
+        if upstream.named_limit is not None:
+            return
+        upstream.named_limit = NAMED_LIMIT_PER_S
+        await anyio.sleep(LIMIT_SETTLES_S)
+        before = (member.process, upstream.upstream_id)
+        arrivals = upstream.arrivals
+        await anyio.sleep(LIMIT_WINDOW_S)
+        count = upstream.arrivals - arrivals
+        upstream.named_limit = None
+        is_same = before == (member.process, upstream.upstream_id)
+        if is_same and count > LIMIT_ALLOWED:
+            self._world.ledger.report(
+                evidence.Promise.NAMED_LIMIT,
+                f"{upstream.upstream_id} got {count} of {LIMIT_ALLOWED:.0f}",
+            )
+
     async def _kill_node(self, member: Member) -> None:
         if member.process is None or member.is_stopping:
             return
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -84,6 +84,10 @@
         self._sequence = 0
         self._born_ms = 0
         self.upstream_id = ""
+        # Requests a second that it says it takes; None if it says nothing.
+        self.named_limit: float | None = None
+        # Requests that have reached it, over all its starts.
+        self.arrivals = 0
 
     @property
     def is_running(self) -> bool:
@@ -155,6 +159,7 @@
             reply(handlers.Response(421, self._own_lines(attempt)))
             return None
         kind = request.target.split(b"/")[1].decode()
+        self.arrivals += 1
         self._ledger.arrived(self.service, kind, attempt, self.upstream_id)
         fault = self.fault
         draw = self._generator.random
@@ -208,7 +213,7 @@
         self._running.discard(running)
 
     def _own_lines(self, attempt: str) -> bytes:
-        return b"%b: %b\r\n%b: %b\r\n%b: %d,0,%d\r\n" % (
+        lines = b"%b: %b\r\n%b: %b\r\n%b: %d,0,%d\r\n" % (
             names.HEADERS.attempt_id,
             attempt.encode(),
             ID_HEADER,
@@ -217,6 +222,14 @@
             len(self._running),
             SLOTS,
         )
+        if self.named_limit is not None:
+            lines += b"%b: %.2f\r\n" % (
+                names.HEADERS.rate_limit,
+                self.named_limit,
+            )
+        if self._state == "draining":
+            lines += b"%b: 1\r\n" % names.HEADERS.leaving
+        return lines
 
     async def _beat_regularly(self) -> None:
         while True:
