--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -27,7 +27,7 @@
 
 # Limit that an upstream names, in requests a second, how long the nodes may
 # take to keep to it, and the window in which they must. Times in seconds.
-NAMED_LIMIT_PER_S = 4.0
+NAMED_LIMIT_PER_S = 2.0
 LIMIT_SETTLES_S = 3.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_ALLOWED = NAMED_LIMIT_PER_S * LIMIT_WINDOW_S * 1.5 + 5
