Use an upstream again that has started anew under its identifier

What is remembered of an upstream now ends when its node, without a restart in between, no longer names it as usable. test_upstream_that_starts_again_is_used fails with this removed.

--- a/medlardoor/mesh/peers.py
+++ b/medlardoor/mesh/peers.py
@@ -157,6 +157,14 @@
 
     def apply_status(self, status: ttypes.NodeStatus) -> None:
         """Applies a status message of the node."""
+        before = self.status
+        if (
+            before is not None
+            and before.incarnation == status.incarnation
+            and before.upstream_id != status.upstream_id
+        ):
+            # Its node takes an upstream that returns for a later start.
+            self._remote_upstream.forget(before.upstream_id or "")
         self.status = status
         if status.interval_ms:
             self.status_interval_s = status.interval_ms / 1_000
--- a/medlardoor/mesh/remote_upstream.py
+++ b/medlardoor/mesh/remote_upstream.py
@@ -32,6 +32,20 @@
         """Whether a response of the upstream has said that it leaves."""
         return upstream_id != "" and upstream_id == self._leaving_id
 
+    def forget(self, upstream_id: str) -> None:
+        """Ends what is known of an upstream that its node no longer uses.
+
+        A later start of it may have the same identifier.
+
+        Args:
+            upstream_id: Identifier of the upstream.
+        """
+        if upstream_id == self._leaving_id:
+            self._leaving_id = ""
+        if upstream_id == self._limited_id:
+            self._limited_id = ""
+            self._limit.clear()
+
     def allows(self, upstream_id: str, now: float) -> bool:
         """Whether this node may send a request to the upstream.
 
--- a/medlardoor/mesh/tests/test_remote_upstream.py
+++ b/medlardoor/mesh/tests/test_remote_upstream.py
@@ -64,6 +64,26 @@
     assert upstream.runs == []
 
 
+async def test_upstream_that_starts_again_is_used(mixed):
+    """An upstream that starts again under its identifier is never used."""
+    member = mixed.members["s1"]
+    caller = mixed.members["o1"]
+    member.upstream.extra_headers = b"Leaving: 1\r\n"
+    await caller.call("/read/x", "a")
+    await group_module.wait_until(
+        lambda: not caller.node._fleet.candidates("stock"), timeout_s=1.0
+    )
+    peer = caller.node._fleet.roster.peers["s1"]
+    member.send_heartbeat(draining=True)
+    await group_module.wait_until(lambda: not peer.status.upstream_id)
+    member.upstream.extra_headers = b""
+    member.send_heartbeat(born_ms=2_000)
+    await group_module.wait_until(
+        lambda: caller.node._fleet.candidates("stock")
+    )
+    assert (await caller.call("/read/x", "b")).status == 200
+
+
 @pytest.fixture
 def remote():
     return remote_upstream.RemoteUpstream(group_module.HEADERS)
