Log the era of the store and documents that are left aside

Reads and watches that deliver a document which is not newer were silent, and the header Store-Era was not read, so the logs did not tell a revision that is compared across the return from a watch that waits at a revision which the store does not have. `store_era_changed` and `document_ignored` (once for each revision) do. No decision changes.

--- a/medlardoor/mesh/documents.py
+++ b/medlardoor/mesh/documents.py
@@ -77,6 +77,7 @@
         self._table: routes_module.RouteTable | None = None
         self._revision = 0
         self._rejected_revision = 0
+        self._ignored_revision = 0
         self._value = b""
         self._listeners: list[collections.abc.Callable[[], None]] = []
 
@@ -118,6 +119,7 @@
             Whether it was adopted.
         """
         if revision <= max(self._revision, self._rejected_revision):
+            self._log_ignored(revision, source)
             return False
         decoded = self._decoder.decode(value)
         if decoded.is_err():
@@ -157,6 +159,20 @@
             listener()
         return True
 
+    def _log_ignored(self, revision: int, source: str) -> None:
+        """Logs a document that is not newer, once for each revision."""
+        if revision in (self._revision, self._ignored_revision):
+            return
+        self._ignored_revision = revision
+        logs.log_event(
+            _LOG,
+            logbook.INFO,
+            "document_ignored",
+            revision=revision,
+            in_force=self._revision,
+            source=source,
+        )
+
 
 class WatchOutcome(enum.Enum):
     """How a watch of the document ended."""
--- a/medlardoor/platform/names.py
+++ b/medlardoor/platform/names.py
@@ -9,6 +9,7 @@
     "LEAVE_PATH",
     "OBJECTS_PATH",
     "SETTINGS_VARIABLE",
+    "STORE_ERA_HEADER",
 ]
 
 HEADERS = settings_module.HeaderNames(
@@ -32,5 +33,9 @@
 OBJECTS_PATH = "/objects/"
 CONFIG_KEY = "config/main"
 
+# Header in all answers of the store. Its number rises by one each time the
+# store returns from an older copy.
+STORE_ERA_HEADER = b"Store-Era"
+
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "MEDLARDOOR_BOOT"
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -5,16 +5,20 @@
 import urllib.parse
 
 import anyio
+import httpcore
+import logbook
 import pydantic
 import result
 
-from medlardoor import errors
+from medlardoor import errors, logs
 from medlardoor.mesh import settings as mesh_settings
 from medlardoor.platform import names
 from medlardoor.store import calls, client
 
 __all__ = ["PlatformStore"]
 
+_LOG = logbook.Logger("store")
+
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -79,16 +83,43 @@
         self._base = f"http://{address.host}:{address.port}"
         self._base += names.OBJECTS_PATH
         self._caller = calls.StoreCaller(CALL_TIMEOUT_S)
+        self._era = 0
         # Revision up to which the events of a watched object are known.
         self._seen: dict[str, int] = {}
 
+    @property
+    def era(self) -> int:
+        """Highest era in an answer of the store; 0 before the first."""
+        return self._era
+
     async def aclose(self) -> None:
         """Closes all connections."""
         await self._caller.aclose()
 
+    async def _call(
+        self, key: str, method: str, url: str, **options: typing.Any
+    ) -> result.Result[httpcore.Response, errors.StoreUnavailable]:
+        """Makes one call and records the era in its answer."""
+        answer = await self._caller.call(key, method, url, **options)
+        if answer.is_ok():
+            self._record_era(_parse_era(answer.ok_value))
+        return answer
+
+    def _record_era(self, era: int) -> None:
+        if era <= self._era:
+            return
+        known, self._era = self._era, era
+        logs.log_event(
+            _LOG,
+            logbook.WARNING if known else logbook.INFO,
+            "store_era_changed",
+            era=era,
+            known=known,
+        )
+
     async def read(self, key: str) -> Read:
         """Reads an object; None if there is no object with this key."""
-        answer = await self._caller.call(key, "GET", self._base + key)
+        answer = await self._call(key, "GET", self._base + key)
         if answer.is_err():
             return answer
         if answer.ok_value.status == _NOT_FOUND:
@@ -108,7 +139,7 @@
             metadata["revision"] = expected_version
             method, url = "PUT", self._base + key
         body = {"metadata": metadata, "spec": json.loads(value), "status": None}
-        answer = await self._caller.call(
+        answer = await self._call(
             key,
             method,
             url,
@@ -126,7 +157,7 @@
         self, key: str
     ) -> result.Result[None, errors.StoreUnavailable]:
         """Removes an object; one that does not exist counts as removed."""
-        answer = await self._caller.call(key, "DELETE", self._base + key)
+        answer = await self._call(key, "DELETE", self._base + key)
         if answer.is_err():
             return answer
         if answer.ok_value.status not in (_OK, _NOT_FOUND):
@@ -161,7 +192,7 @@
         query = urllib.parse.urlencode(
             {"watch": after, "waitMs": int(wait_s * 1_000)}
         )
-        answer = await self._caller.call(
+        answer = await self._call(
             key, "GET", f"{self._base}{kind}?{query}", wait_s=wait_s
         )
         if answer.is_err():
@@ -183,7 +214,7 @@
     ]:
         """Reads an object and the revision of the store at that moment."""
         kind, _, name = key.partition("/")
-        answer = await self._caller.call(
+        answer = await self._call(
             key, "GET", self._base + kind, max_bytes=_MAX_LIST_BYTES
         )
         if answer.is_err():
@@ -211,7 +242,7 @@
             if after:
                 parameters["after"] = after
             query = urllib.parse.urlencode(parameters)
-            answer = await self._caller.call(
+            answer = await self._call(
                 prefix,
                 "GET",
                 f"{self._base}{kind}?{query}",
@@ -243,6 +274,14 @@
             return result.Err(calls.failed(key, error))
 
 
+def _parse_era(response: httpcore.Response) -> int:
+    """Returns the era in a response; 0 if it is missing or malformed."""
+    for name, value in response.headers:
+        if name.lower() == names.STORE_ERA_HEADER.lower() and value.isdigit():
+            return int(value)
+    return 0
+
+
 def _stored(key: str) -> typing.Callable[[_Object], client.StoredObject]:
     def convert(found: _Object) -> client.StoredObject:
         value = json.dumps(found.spec).encode()
