Reproduce a change that is ignored after the store has returned from a copy

The stand-in of the store learns to return from an older copy: its revision goes back, its era rises, a watch from a revision that it does not have gets 410.

--- a/medlardoor/standins/object_store.py
+++ b/medlardoor/standins/object_store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's metadata store, for tests and the soak."""
 
 import asyncio
+import copy
 import dataclasses
 import enum
 import json
@@ -10,7 +11,7 @@
 from medlardoor.config import routes
 from medlardoor.mesh import handlers
 
-__all__ = ["StandinStore", "StoreFault"]
+__all__ = ["StandinStore", "StoreCopy", "StoreFault"]
 
 _JSON = b"content-type: application/json\r\n"
 _PREFIX = "/objects/"
@@ -58,6 +59,19 @@
     deleted: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Content of the store at one moment.
+
+    Attributes:
+        revision: Revision of the last change.
+        kinds: Objects by kind and name.
+    """
+
+    revision: int
+    kinds: dict[str, dict[str, _Entry]]
+
+
 class _Waiting(handlers.RequestHandle):
     """A watch that waits, or a call without an answer."""
 
@@ -80,6 +94,8 @@
         self.calls = 0
         # Calls that may return data that is some seconds old.
         self.stale_calls = 0
+        # Era in the header of all answers; None sends no header.
+        self.era: int | None = 1
         self._revision = 1
         self._kinds: dict[str, dict[str, _Entry]] = {}
         self._history: list[_Change] = []
@@ -125,12 +141,43 @@
         self._forgotten = self._revision
         self._end_watches(410)
 
+    def copy(self) -> StoreCopy:
+        """Copies the content of the store."""
+        return StoreCopy(self._revision, copy.deepcopy(self._kinds))
+
+    def restore(self, older: StoreCopy) -> None:
+        """Returns from an older copy; all later changes are lost.
+
+        Args:
+            older: Content to return to.
+        """
+        self._end_watches(410)
+        self.era = (self.era or 0) + 1
+        self._revision = older.revision
+        self._kinds = copy.deepcopy(older.kinds)
+        self._history.clear()
+        self._forgotten = older.revision
+
     def handle(
         self,
         request: handlers.Request,
         reply: handlers.Reply,
     ) -> handlers.RequestHandle | None:
         """Handles a call, after a delay if one is set."""
+
+        def reply_with_era(response: handlers.Response) -> None:
+            headers = response.headers
+            if self.era is not None:
+                headers += b"Store-Era: %d\r\n" % self.era
+            reply(dataclasses.replace(response, headers=headers))
+
+        return self._handle_later(request, reply_with_era)
+
+    def _handle_later(
+        self,
+        request: handlers.Request,
+        reply: handlers.Reply,
+    ) -> handlers.RequestHandle | None:
         self.calls += 1
         self.stale_calls += b"allowStale=1" in request.target
         if self.delay_s:
@@ -221,7 +268,7 @@
         self, kind: str, query: dict[str, str], reply: handlers.Reply
     ) -> handlers.RequestHandle | None:
         after = int(query["watch"])
-        if after < self._forgotten:
+        if not self._forgotten <= after <= self._revision:
             reply(_answer(410))
             return None
         if self._events(kind, after):
