--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -13,6 +13,7 @@
 from medlardoor.mesh import (
     crashes,
     dispatch,
+    document_watch,
     documents,
     fleet,
     fleet_events,
@@ -118,7 +119,7 @@
             self._recorder,
             generator,
         )
-        self._watch = documents.DocumentWatch(
+        self._watch = document_watch.DocumentWatch(
             settings.documents,
             store,
             document_key,
--- a/medlardoor/mesh/node_metrics.py
+++ b/medlardoor/mesh/node_metrics.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
-from medlardoor.mesh import dispatch, documents, local_upstream, recording
+from medlardoor.mesh import (
+    dispatch,
+    document_watch,
+    local_upstream,
+    recording,
+)
 from medlardoor.mesh import fleet as fleet_module
 
 __all__ = ["render"]
@@ -13,7 +18,7 @@
     fleet: fleet_module.Fleet,
     dispatcher: dispatch.Dispatcher,
     recorder: recording.Recorder,
-    watch: documents.DocumentWatch,
+    watch: document_watch.DocumentWatch,
     gauges: dict[str, int],
     lent_shares: dict[int, float],
 ) -> str:
--- a/medlardoor/mesh/tests/test_document_watch.py
+++ b/medlardoor/mesh/tests/test_document_watch.py
@@ -8,7 +8,7 @@
 import trio.testing
 
 from medlardoor import errors
-from medlardoor.mesh import documents, settings
+from medlardoor.mesh import document_watch, documents, settings
 from medlardoor.mesh.tests import group as group_module
 from medlardoor.store import client, memory
 
@@ -81,7 +81,7 @@
         self.store = SilencedStore(self.table)
         self.holder = documents.DocumentHolder(group_module.Decoder())
         self.reports = []
-        self.watch = documents.DocumentWatch(
+        self.watch = document_watch.DocumentWatch(
             SETTINGS,
             self.store,
             KEY,
@@ -162,9 +162,9 @@
         return tested.watch.outcomes
 
     outcomes = _run(scenario)
-    assert outcomes[documents.WatchOutcome.UNCHANGED] >= 2
-    assert outcomes[documents.WatchOutcome.CHANGED] == 1
-    assert outcomes[documents.WatchOutcome.FAILED] == 1
+    assert outcomes[document_watch.WatchOutcome.UNCHANGED] >= 2
+    assert outcomes[document_watch.WatchOutcome.CHANGED] == 1
+    assert outcomes[document_watch.WatchOutcome.FAILED] == 1
 
 
 def test_age_of_the_last_answer_grows_while_a_watch_waits():
--- a/medlardoor/platform/tests/test_restored_store.py
+++ b/medlardoor/platform/tests/test_restored_store.py
@@ -7,7 +7,12 @@
 import anyio
 import pytest
 
-from medlardoor.mesh import documents, server_connection, settings
+from medlardoor.mesh import (
+    document_watch,
+    documents,
+    server_connection,
+    settings,
+)
 from medlardoor.platform import documents as platform_documents
 from medlardoor.platform import names, store
 from medlardoor.standins import object_store
@@ -34,7 +39,7 @@
         self.holder = documents.DocumentHolder(
             platform_documents.ConfigDecoder()
         )
-        self.watch = documents.DocumentWatch(
+        self.watch = document_watch.DocumentWatch(
             SETTINGS,
             client,
             names.CONFIG_KEY,
