Adopt changes written after the store has returned from an older copy

Cause: a position in the store was compared with one from before the return. The holder took a document only if its revision was above the one in force, and the store had given the lost revisions out again; watches went on from revisions that the store no longer had.

A version of a stored object now has the era (header Store-Era) in its upper bits, so versions of all eras have one order. A watch goes on only from a version of the era known, an update with an expected version of another era is a conflict, and an answer of an earlier era is a failure.

--- a/medlardoor/mesh/document_watch.py
+++ b/medlardoor/mesh/document_watch.py
@@ -111,7 +111,7 @@
                 if await self._wait_while_covered():
                     version = 0
                     continue
-                version = max(version, self._holder.revision)
+                version = max(version, self._holder.version.stored)
                 called_at = anyio.current_time()
                 read = await self._wait_for_change(version)
             answered_at = anyio.current_time()
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store behind the product's interface."""
 
 import json
+import re
 import typing
 import urllib.parse
 
@@ -13,7 +14,7 @@
 from medlardoor import errors, logs
 from medlardoor.mesh import settings as mesh_settings
 from medlardoor.platform import names
-from medlardoor.store import calls, client
+from medlardoor.store import calls, client, versions
 
 __all__ = ["PlatformStore"]
 
@@ -39,10 +40,18 @@
 _MAX_LIST_BYTES = 8 * client.MAX_VALUE_BYTES
 _MAX_PAGES = 64
 
+# An era is counted from the returns of the store, so more digits are an error.
+_ERA = re.compile(rb"[0-9]{1,6}")
+
+
+_Revision = typing.Annotated[
+    int, pydantic.Field(ge=0, lt=1 << versions.REVISION_BITS)
+]
+
 
 class _Metadata(pydantic.BaseModel):
     name: str
-    revision: int
+    revision: _Revision
 
 
 class _Object(pydantic.BaseModel):
@@ -57,14 +66,14 @@
 
 class _Events(pydantic.BaseModel):
     events: tuple[_Event, ...] = ()
-    currentRev: int  # noqa: N815
+    currentRev: _Revision  # noqa: N815
 
 
 class _Page(pydantic.BaseModel):
     # Items are checked one by one: another writer may have spoilt some.
     items: tuple[typing.Any, ...] = ()
     hasMore: bool = False  # noqa: N815
-    currentRev: int = 0  # noqa: N815
+    currentRev: _Revision = 0  # noqa: N815
 
 
 Read = result.Result[client.StoredObject | None, errors.StoreUnavailable]
@@ -83,13 +92,13 @@
         self._base = f"http://{address.host}:{address.port}"
         self._base += names.OBJECTS_PATH
         self._caller = calls.StoreCaller(CALL_TIMEOUT_S)
-        self._era = 0
-        # Revision up to which the events of a watched object are known.
+        self._era: int | None = None
+        # Version up to which the events of a watched object are known.
         self._seen: dict[str, int] = {}
 
     @property
-    def era(self) -> int:
-        """Highest era in an answer of the store; 0 before the first."""
+    def era(self) -> int | None:
+        """Highest era in an answer of the store; see `ObjectStore`."""
         return self._era
 
     async def aclose(self) -> None:
@@ -99,23 +108,35 @@
     async def _call(
         self, key: str, method: str, url: str, **options: typing.Any
     ) -> result.Result[httpcore.Response, errors.StoreUnavailable]:
-        """Makes one call and records the era in its answer."""
-        answer = await self._caller.call(key, method, url, **options)
-        if answer.is_ok():
-            self._record_era(_parse_era(answer.ok_value))
-        return answer
+        """Makes one call; fails if its answer is of an earlier era.
 
-    def _record_era(self, era: int) -> None:
-        if era <= self._era:
-            return
+        An answer without a valid era counts as one of the era known.
+        """
+        answer = await self._caller.call(key, method, url, **options)
+        if answer.is_err():
+            return answer
+        era = _parse_era(answer.ok_value)
+        if era is None or era == self._era:
+            return answer
+        if self._era is not None and era < self._era:
+            detail = f"answer of era {era}, expected {self._era}"
+            return result.Err(errors.StoreUnavailable(key, detail))
         known, self._era = self._era, era
         logs.log_event(
             _LOG,
-            logbook.WARNING if known else logbook.INFO,
+            logbook.INFO if known is None else logbook.WARNING,
             "store_era_changed",
             era=era,
             known=known,
         )
+        return answer
+
+    def _version(self, revision: int) -> int:
+        """Version of a revision in the last answer."""
+        return versions.compose(self._era or 0, revision)
+
+    def _is_of_known_era(self, version: int) -> bool:
+        return versions.era_of(version) == (self._era or 0)
 
     async def read(self, key: str) -> Read:
         """Reads an object; None if there is no object with this key."""
@@ -124,7 +145,8 @@
             return answer
         if answer.ok_value.status == _NOT_FOUND:
             return result.Ok(None)
-        return self._parse(key, answer.ok_value, _Object).map(_stored(key))
+        parsed = self._parse(key, answer.ok_value, _Object)
+        return parsed.map(lambda found: self._stored(key, found))
 
     async def update(
         self, key: str, value: bytes, expected_version: int
@@ -132,11 +154,14 @@
         """Writes an object if its version is still the expected one."""
         if len(value) > client.MAX_VALUE_BYTES:
             return result.Err(client.too_large(key, len(value)))
+        if expected_version > 0 and not self._is_of_known_era(expected_version):
+            # Another change may have its revision in the era that follows.
+            return result.Err(errors.StoreConflict(key, expected_version))
         kind, _, name = key.partition("/")
         metadata: dict[str, typing.Any] = {"name": name}
         method, url = "POST", self._base + kind
         if expected_version > 0:
-            metadata["revision"] = expected_version
+            metadata["revision"] = versions.revision_of(expected_version)
             method, url = "PUT", self._base + key
         body = {"metadata": metadata, "spec": json.loads(value), "status": None}
         answer = await self._call(
@@ -151,7 +176,7 @@
         if answer.ok_value.status in (_CONFLICT, _NOT_FOUND):
             return result.Err(errors.StoreConflict(key, expected_version))
         parsed = self._parse(key, answer.ok_value, _Object)
-        return parsed.map(lambda found: found.metadata.revision)
+        return parsed.map(lambda found: self._version(found.metadata.revision))
 
     async def delete(
         self, key: str
@@ -187,32 +212,42 @@
     ) -> result.Result[
         tuple[client.StoredObject | None, int], errors.StoreUnavailable
     ]:
-        """Makes one call; the object and the revision to go on from."""
+        """Makes one call; the object and the version to go on from.
+
+        A version of another era is no place to go on from: its revision may
+        have been given out again.
+        """
+        if not self._is_of_known_era(after):
+            return await self._read_with_version(key)
         kind, _, name = key.partition("/")
         query = urllib.parse.urlencode(
-            {"watch": after, "waitMs": int(wait_s * 1_000)}
+            {
+                "watch": versions.revision_of(after),
+                "waitMs": int(wait_s * 1_000),
+            }
         )
         answer = await self._call(
             key, "GET", f"{self._base}{kind}?{query}", wait_s=wait_s
         )
         if answer.is_err():
             return answer
-        if answer.ok_value.status == _GONE:
-            return await self._read_with_revision(key)
+        is_outdated = not self._is_of_known_era(after)
+        if answer.ok_value.status == _GONE or is_outdated:
+            return await self._read_with_version(key)
         parsed = self._parse(key, answer.ok_value, _Events)
         return parsed.map(
             lambda events: (
-                _latest(key, name, events),
-                max(after, events.currentRev),
+                self._latest(key, name, events),
+                max(after, self._version(events.currentRev)),
             )
         )
 
-    async def _read_with_revision(
+    async def _read_with_version(
         self, key: str
     ) -> result.Result[
         tuple[client.StoredObject | None, int], errors.StoreUnavailable
     ]:
-        """Reads an object and the revision of the store at that moment."""
+        """Reads an object and the version of the store at that moment."""
         kind, _, name = key.partition("/")
         answer = await self._call(
             key, "GET", self._base + kind, max_bytes=_MAX_LIST_BYTES
@@ -225,8 +260,8 @@
         found = None
         for item in _valid_objects(page.ok_value.items):
             if item.metadata.name == name:
-                found = _stored(key)(item)
-        return result.Ok((found, page.ok_value.currentRev))
+                found = self._stored(key, item)
+        return result.Ok((found, self._version(page.ok_value.currentRev)))
 
     async def list(
         self, prefix: str
@@ -256,13 +291,31 @@
             if page.is_err():
                 return page
             objects = _valid_objects(page.ok_value.items)
-            found += [_stored(f"{kind}/{o.metadata.name}")(o) for o in objects]
+            found += [
+                self._stored(f"{kind}/{each.metadata.name}", each)
+                for each in objects
+            ]
             if not page.ok_value.hasMore or not objects:
                 break
             after = objects[-1].metadata.name
         wanted = f"{kind}/{name_prefix}"
         return result.Ok(tuple(o for o in found if o.key.startswith(wanted)))
 
+    def _stored(self, key: str, found: _Object) -> client.StoredObject:
+        value = json.dumps(found.spec).encode()
+        return client.StoredObject(
+            key, value, self._version(found.metadata.revision)
+        )
+
+    def _latest(
+        self, key: str, name: str, found: _Events
+    ) -> client.StoredObject | None:
+        latest = None
+        for event in found.events:
+            if event.object.metadata.name == name and not event.deleted:
+                latest = self._stored(key, event.object)
+        return latest
+
     def _parse(
         self, key: str, response, model: type[pydantic.BaseModel]
     ) -> result.Result:
@@ -274,28 +327,12 @@
             return result.Err(calls.failed(key, error))
 
 
-def _parse_era(response: httpcore.Response) -> int:
-    """Returns the era in a response; 0 if it is missing or malformed."""
+def _parse_era(response: httpcore.Response) -> int | None:
+    """Returns the era in a response; None if it is missing or malformed."""
     for name, value in response.headers:
-        if name.lower() == names.STORE_ERA_HEADER.lower() and value.isdigit():
-            return int(value)
-    return 0
-
-
-def _stored(key: str) -> typing.Callable[[_Object], client.StoredObject]:
-    def convert(found: _Object) -> client.StoredObject:
-        value = json.dumps(found.spec).encode()
-        return client.StoredObject(key, value, found.metadata.revision)
-
-    return convert
-
-
-def _latest(key: str, name: str, found: _Events) -> client.StoredObject | None:
-    latest = None
-    for event in found.events:
-        if event.object.metadata.name == name and not event.deleted:
-            latest = _stored(key)(event.object)
-    return latest
+        if name.lower() == names.STORE_ERA_HEADER.lower():
+            return int(value) if _ERA.fullmatch(value) else None
+    return None
 
 
 def _valid_objects(items: tuple[typing.Any, ...]) -> list[_Object]:
--- a/medlardoor/platform/tests/test_restored_store.py
+++ b/medlardoor/platform/tests/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 
 import anyio
@@ -16,6 +17,7 @@
 from medlardoor.platform import documents as platform_documents
 from medlardoor.platform import names, store
 from medlardoor.standins import object_store
+from medlardoor.store import versions
 
 pytestmark = pytest.mark.anyio
 
@@ -72,14 +74,22 @@
             await self.wait_for(number)
 
 
+@pytest.fixture
+async def unwatched():
+    async with _serve_store() as unwatched:
+        yield unwatched
+
+
 @pytest.fixture
 async def watched():
-    async with _watch_store() as watched:
+    async with _serve_store() as watched, anyio.create_task_group() as group:
+        group.start_soon(watched.watch.run)
         yield watched
+        group.cancel_scope.cancel()
 
 
 @contextlib.asynccontextmanager
-async def _watch_store():
+async def _serve_store():
     standin = object_store.StandinStore()
     connections = set()
     server = await asyncio.get_running_loop().create_server(
@@ -89,11 +99,7 @@
     )
     host, port = server.sockets[0].getsockname()
     client = store.PlatformStore(settings.Address(host, port))
-    watched = Watched(standin, client)
-    async with anyio.create_task_group() as group:
-        group.start_soon(watched.watch.run)
-        yield watched
-        group.cancel_scope.cancel()
+    yield Watched(standin, client)
     server.close()
     await client.aclose()
 
@@ -108,3 +114,115 @@
     await anyio.sleep(0.2)
     watched.publish(100)
     await watched.wait_for(100, SETTINGS.in_force_s)
+
+
+async def test_older_copy_does_not_replace_the_document(watched):
+    """A node goes back to a document that was replaced before the return."""
+    await watched.publish_in_turn(1)
+    older = watched.standin.copy()
+    await watched.publish_in_turn(2, 3)
+    watched.standin.restore(older)
+    await anyio.sleep(2 * SETTINGS.in_force_s)
+    assert watched.number == 3
+    assert watched.client.era == 2
+
+
+async def test_lost_changes_written_again_do_not_go_back(watched):
+    """Changes written again one by one bring the earlier ones back."""
+    await watched.publish_in_turn(1)
+    older = watched.standin.copy()
+    await watched.publish_in_turn(2, 3, 4)
+    seen = set()
+    watched.holder.listen(lambda: seen.add(watched.number))
+    watched.standin.restore(older)
+    for number in (2, 3, 4):
+        watched.publish(number)
+        await anyio.sleep(0.2)
+    assert (watched.number, seen) == (4, set())
+    watched.publish(5)
+    await watched.wait_for(5, SETTINGS.in_force_s)
+
+
+async def test_number_given_out_again_replaces_the_lost_document(watched):
+    """A change with the number of a lost one is taken for that one."""
+    await watched.publish_in_turn(1)
+    older = watched.standin.copy()
+    await watched.publish_in_turn(2)
+    watched.standin.restore(older)
+    watched.standin.put(
+        *names.CONFIG_KEY.split("/"),
+        {
+            "version": 2,
+            "listeners": [{"host": "changed.example"}],
+            "limits": {},
+        },
+    )
+    version = versions.compose(2, watched.standin._revision)
+    with anyio.move_on_after(SETTINGS.in_force_s):
+        while watched.holder.version.stored != version:  # noqa: ASYNC110
+            await anyio.sleep(0.01)
+    assert b"changed.example" in watched.holder.value
+
+
+async def test_second_return_hides_no_change(watched):
+    """A return is taken for the first one that a node has noticed."""
+    await watched.publish_in_turn(1)
+    older = watched.standin.copy()
+    for number in (10, 20):
+        await watched.publish_in_turn(number)
+        watched.standin.restore(older)
+        await anyio.sleep(0.2)
+    watched.publish(30)
+    await watched.wait_for(30, SETTINGS.in_force_s)
+
+
+async def _known(watched, number):
+    """Publishes a document and returns its version, known to the client."""
+    watched.publish(number)
+    return (await watched.client.read(names.CONFIG_KEY)).unwrap().version
+
+
+async def test_watch_reports_changes_up_to_a_revision_given_out_again(
+    unwatched,
+):
+    """Changes are skipped whose revisions the node has seen in another era."""
+    older = unwatched.standin.copy()
+    for number in range(1, 5):
+        version = await _known(unwatched, number)
+    unwatched.standin.restore(older)
+    unwatched.publish(9)
+    for name in "abcdef":
+        unwatched.standin.put("config", name, {})
+    found = await unwatched.client.watch(names.CONFIG_KEY, version, 0.5)
+    assert json.loads(found.unwrap().value)["version"] == 9
+
+
+async def test_update_of_a_revision_given_out_again_conflicts(unwatched):
+    """A write replaces an object that happens to have the expected revision."""
+    older = unwatched.standin.copy()
+    client = unwatched.client
+    version = (await client.update("instances/a", b"1", 0)).unwrap()
+    unwatched.standin.restore(older)
+    unwatched.standin.put("instances", "a", 2)
+    await client.read("instances/a")
+    assert (await client.update("instances/a", b"3", version)).is_err()
+    assert unwatched.standin.spec("instances", "a") == 2
+
+
+async def test_answer_of_an_earlier_era_is_a_failure(unwatched):
+    """A late answer from before the return is taken for the store's state."""
+    older = unwatched.standin.copy()
+    unwatched.standin.restore(older)
+    await _known(unwatched, 1)
+    unwatched.standin.era = 1
+    assert (await unwatched.client.read(names.CONFIG_KEY)).is_err()
+    assert (await unwatched.client.list("config/")).is_err()
+
+
+@pytest.mark.parametrize("era", [b"", b"-1", b"x", b"2.5", b"9" * 40])
+async def test_malformed_era_counts_as_the_known_one(unwatched, era):
+    """One malformed header cuts a node off from the store."""
+    version = await _known(unwatched, 1)
+    unwatched.standin.era_text = era
+    assert await _known(unwatched, 1) > version
+    assert unwatched.client.era == 1
--- a/medlardoor/platform/tests/test_store.py
+++ b/medlardoor/platform/tests/test_store.py
@@ -15,6 +15,7 @@
 from medlardoor.platform.tests import test_settings
 from medlardoor.soak import relay
 from medlardoor.standins import object_store
+from medlardoor.store import versions
 
 pytestmark = pytest.mark.anyio
 
@@ -43,9 +44,17 @@
         await client.aclose()
 
 
-@pytest.fixture
-async def standin():
-    return object_store.StandinStore()
+@pytest.fixture(params=[None, 1])
+async def standin(request):
+    """A store without eras, and one that has not returned from a copy."""
+    standin = object_store.StandinStore()
+    standin.era = request.param
+    return standin
+
+
+def _put(standin, kind, name, spec):
+    """Writes an object as the operator does; returns its version."""
+    return versions.compose(standin.era or 0, standin.put(kind, name, spec))
 
 
 @pytest.fixture
@@ -82,9 +91,9 @@
 
 async def test_watch_returns_the_latest_change(client, standin):
     """A change that comes during a watch, or before it, is missed."""
-    version = standin.put("config", "main", {"n": 1})
+    version = _put(standin, "config", "main", {"n": 1})
     standin.put("config", "main", {"n": 2})
-    latest = standin.put("config", "main", {"n": 3})
+    latest = _put(standin, "config", "main", {"n": 3})
     found = (await client.watch("config/main", version, 1.0)).unwrap()
     assert (json.loads(found.value), found.version) == ({"n": 3}, latest)
     async with anyio.create_task_group() as group:
@@ -100,7 +109,7 @@
 
 async def test_watch_without_change_returns_none(client, standin):
     """A watch that ends without a change is taken for a failure."""
-    version = standin.put("config", "main", {"n": 1})
+    version = _put(standin, "config", "main", {"n": 1})
     assert (await client.watch("config/main", version, 0.05)).unwrap() is None
 
 
@@ -134,28 +143,28 @@
 
 async def test_changes_of_other_objects_cost_few_calls(client, standin):
     """A change of another object makes a node ask again without a pause."""
-    version = standin.put("config", "main", {"n": 1})
+    version = _put(standin, "config", "main", {"n": 1})
     standin.put("config", "other", {"n": 2})
     assert await _calls_of_watches(client, standin, version) <= 8
-    latest = standin.put("config", "main", {"n": 3})
+    latest = _put(standin, "config", "main", {"n": 3})
     found = (await client.watch("config/main", version, 1.0)).unwrap()
     assert found.version == latest
 
 
 async def test_dropped_history_costs_few_calls(client, standin):
     """A node asks without a pause once the history of its version is gone."""
-    version = standin.put("config", "main", {"n": 1})
+    version = _put(standin, "config", "main", {"n": 1})
     standin.put("instances", "a", {})
     standin.forget_history()
     assert await _calls_of_watches(client, standin, version) <= 8
-    latest = standin.put("config", "main", {"n": 3})
+    latest = _put(standin, "config", "main", {"n": 3})
     found = (await client.watch("config/main", version, 1.0)).unwrap()
     assert found.version == latest
 
 
 async def test_forgotten_history_is_read_anew(client, standin):
     """A node keeps watching from a version whose history is gone."""
-    version = standin.put("config", "main", {"n": 1})
+    version = _put(standin, "config", "main", {"n": 1})
     standin.put("config", "main", {"n": 2})
     standin.forget_history()
     found = (await client.watch("config/main", version, 1.0)).unwrap()
@@ -204,7 +213,8 @@
 
 async def test_watch_without_change_costs_one_call(client, standin):
     """Each watch is followed by a second call that waits for nothing."""
-    version = standin.put("config", "main", {"n": 1})
+    _put(standin, "config", "main", {"n": 1})
+    version = (await client.read("config/main")).unwrap().version
     before = standin.calls
     assert (await client.watch("config/main", version, 0.2)).unwrap() is None
     assert standin.calls - before == 1
--- a/medlardoor/standins/object_store.py
+++ b/medlardoor/standins/object_store.py
@@ -96,6 +96,8 @@
         self.stale_calls = 0
         # Era in the header of all answers; None sends no header.
         self.era: int | None = 1
+        # Sent instead of the era, as a store that misbehaves does.
+        self.era_text: bytes | None = None
         self._revision = 1
         self._kinds: dict[str, dict[str, _Entry]] = {}
         self._history: list[_Change] = []
@@ -167,8 +169,11 @@
 
         def reply_with_era(response: handlers.Response) -> None:
             headers = response.headers
-            if self.era is not None:
-                headers += b"Store-Era: %d\r\n" % self.era
+            text = self.era_text
+            if text is None and self.era is not None:
+                text = b"%d" % self.era
+            if text is not None:
+                headers += b"Store-Era: %b\r\n" % text
             reply(dataclasses.replace(response, headers=headers))
 
         return self._handle_later(request, reply_with_era)
--- a/medlardoor/store/client.py
+++ b/medlardoor/store/client.py
@@ -19,8 +19,8 @@
     Attributes:
         key: Key of the object, such as ``documents/production``.
         value: Content, at most `MAX_VALUE_BYTES` long.
-        version: Version of the last change. Versions increase across all
-            objects.
+        version: Version of the last change; see `store.versions`. Versions
+            increase across all objects.
     """
 
     key: str
@@ -35,6 +35,11 @@
     platform's limits. No method retries a failed call.
     """
 
+    @property
+    def era(self) -> int | None:
+        """Highest era in an answer of the store; None if none had one."""
+        return None
+
     @abc.abstractmethod
     async def read(
         self, key: str
--- a/medlardoor/store/memory.py
+++ b/medlardoor/store/memory.py
@@ -8,9 +8,15 @@
 import result
 
 from medlardoor import errors
-from medlardoor.store import client
+from medlardoor.store import client, versions
 
-__all__ = ["FaultMode", "MemoryObjectStore", "ObjectTable", "StoreCalls"]
+__all__ = [
+    "FaultMode",
+    "MemoryObjectStore",
+    "ObjectTable",
+    "StoreCalls",
+    "TableCopy",
+]
 
 
 class FaultMode(enum.Enum):
@@ -42,6 +48,19 @@
         return self.reads + self.updates + self.watches + self.lists
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableCopy:
+    """Content of a table at one moment.
+
+    Attributes:
+        revision: Revision of the last change.
+        objects: Objects by key.
+    """
+
+    revision: int
+    objects: dict[str, client.StoredObject]
+
+
 class ObjectTable:
     """Table of objects with one version counter for all of them."""
 
@@ -50,6 +69,26 @@
         self._version = 0
         self._waiters: dict[str, anyio.Event] = {}
 
+    def copy(self) -> TableCopy:
+        """Copies the content of the table."""
+        revision = versions.revision_of(self._version)
+        return TableCopy(revision, dict(self._objects))
+
+    def restore(self, older: TableCopy) -> None:
+        """Returns from an older copy, as the store does, in a new era."""
+        era = versions.era_of(self._version) + 1
+        self._version = versions.compose(era, older.revision)
+        self._objects = {
+            key: dataclasses.replace(
+                stored,
+                version=versions.compose(
+                    era, versions.revision_of(stored.version)
+                ),
+            )
+            for key, stored in older.objects.items()
+        }
+        self.wake_all()
+
     @property
     def version(self) -> int:
         """Version of the last change to any object."""
@@ -122,12 +161,18 @@
         self._mode = FaultMode.UP
         self._delay_s = 0.0
         self._calls = StoreCalls()
+        self._era: int | None = None
 
     @property
     def table(self) -> ObjectTable:
         """Table of objects that this client reads and writes."""
         return self._table
 
+    @property
+    def era(self) -> int | None:
+        """Era of the last answer; see `ObjectStore`."""
+        return self._era
+
     @property
     def calls(self) -> StoreCalls:
         """Number of calls made through this client."""
@@ -152,6 +197,7 @@
         await self._delay()
         if self._mode is FaultMode.DOWN:
             return result.Err(_unavailable(key))
+        self._record_era()
         return result.Ok(self._table.read(key))
 
     async def update(
@@ -169,6 +215,7 @@
             self._calls.conflicts += 1
         if self._mode is FaultMode.LOSE_ANSWERS:
             return result.Err(_unavailable(key, "response lost"))
+        self._record_era()
         return update_result
 
     async def delete(
@@ -194,10 +241,12 @@
             while self._mode is not FaultMode.DOWN:
                 found = self._table.newer(key, after_version)
                 if found is not None:
+                    self._record_era()
                     return result.Ok(found)
                 await self._table.wait_for_change(key)
         if self._mode is FaultMode.DOWN:
             return result.Err(_unavailable(key))
+        self._record_era()
         return result.Ok(None)
 
     async def list(
@@ -210,8 +259,12 @@
         await self._delay()
         if self._mode is FaultMode.DOWN:
             return result.Err(_unavailable(prefix))
+        self._record_era()
         return result.Ok(self._table.list(prefix))
 
+    def _record_era(self) -> None:
+        self._era = versions.era_of(self._table.version)
+
     async def _delay(self) -> None:
         # Without a checkpoint a task that retries in a loop would never
         # yield to other tasks.
