Compare documents of nodes by their version, not by their revision

After a return of the store the nodes that watch it had the new document, and the others, which follow them, kept the one in force: statuses carried the revision without its era, so the new document looked older.

Statuses carry the operator's number and the stored version in new fields, transfers the stored version. Frames of earlier builds have neither: their revision is compared as one of the same era, and a document that was requested for it and not adopted is not requested again. Earlier builds still get the plain revision. A status with a revision that no version can hold is invalid.

--- a/medlardoor/mesh/document_exchange.py
+++ b/medlardoor/mesh/document_exchange.py
@@ -4,6 +4,7 @@
 import collections.abc
 
 from medlardoor.mesh import documents, links
+from medlardoor.store import versions
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 __all__ = ["DocumentExchange"]
@@ -17,7 +18,7 @@
     """Sends the document to nodes with an older one, and requests newer ones.
 
     A node requests the document by sending its status, which carries its
-    revision, on a link that it has dialled.
+    version, on a link that it has dialled.
 
     Args:
         holder: Holder of the document in force.
@@ -48,18 +49,43 @@
             is_transfer_allowed: Whether to send a newer document to the node.
                 False for periodic statuses: they go to many nodes, all of
                 which would send it. The node instead requests the document
-                from one node when it learns of a newer revision.
+                from one node when it learns of a newer version.
         """
-        revision = status.document_revision or 0
-        if revision < self._holder.revision:
+        own = self._holder.version
+        stored = status.document_stored
+        if stored is None:
+            # A node of an earlier build sends only the revision.
+            stored = status.document_revision or 0
+            era = versions.era_of(own.stored)
+            theirs = documents.DocumentVersion(
+                own.number, versions.compose(era, stored)
+            )
+        else:
+            theirs = documents.DocumentVersion(
+                status.document_number or 0, stored
+            )
+        if theirs < own:
             if is_transfer_allowed:
                 routes = ttypes.RouteTransfer(
-                    revision=self._holder.revision, value=self._holder.value
+                    revision=self._holder.revision,
+                    value=self._holder.value,
+                    stored=own.stored,
                 )
                 link.send(ttypes.Frame(routes=routes))
-        elif revision > self._holder.revision:
+        elif theirs > own and not self._holder.has_dismissed(stored):
             self._request_document(link)
 
+    def receive(self, transfer: ttypes.RouteTransfer) -> None:
+        """Offers a document from another node to the holder.
+
+        Args:
+            transfer: Message with the document.
+        """
+        stored = transfer.stored
+        if stored is None:
+            stored = transfer.revision or 0
+        self._holder.offer(stored, transfer.value or b"", "node")
+
     def _request_document(self, link: links.Link) -> None:
         now = self._loop.time()
         if now - self._requested_at >= REQUEST_INTERVAL_S:
--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -82,7 +82,6 @@
         self._settings = settings
         self._link_settings = settings.links
         self._local = local
-        self._holder = holder
         self._make_status = make_status
         self._events = events
         self._loop = asyncio.get_running_loop()
@@ -227,9 +226,7 @@
             if statuses.is_valid_status(frame.status):
                 self._on_status(link, frame.status)
         elif frame.routes is not None:
-            self._holder.offer(
-                frame.routes.revision, frame.routes.value, "node"
-            )
+            self._document_exchange.receive(frame.routes)
         elif frame.left is not None:
             self._on_upstream_left(frame.left)
         else:
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -332,6 +332,8 @@
             running=admission_queue.running,
             waiting=admission_queue.waiting,
             document_revision=self._holder.revision,
+            document_number=self._holder.version.number,
+            document_stored=self._holder.version.stored,
             cold_ms=int(self._register.cold_s(now) * 1_000),
             level=admission_queue.level,
             leaving=self._is_stopping,
--- a/medlardoor/mesh/statuses.py
+++ b/medlardoor/mesh/statuses.py
@@ -5,6 +5,7 @@
 from medlardoor import errors
 from medlardoor.mesh import runs
 from medlardoor.routing import placement
+from medlardoor.store import versions
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 __all__ = [
@@ -161,8 +162,12 @@
 
 
 def is_valid_status(status: ttypes.NodeStatus) -> bool:
-    """Whether a status has a valid instance name, IP address and port."""
-    return _is_valid_endpoint(status.instance, status.host, status.port)
+    """Whether the sender's name and address and its versions are valid."""
+    return (
+        _is_valid_endpoint(status.instance, status.host, status.port)
+        and 0 <= (status.document_revision or 0) <= versions.MAX_REVISION
+        and 0 <= (status.store_era or 0) <= versions.MAX_ERA
+    )
 
 
 def is_valid_address(address: ttypes.NodeAddress) -> bool:
--- a/medlardoor/mesh/tests/test_watching.py
+++ b/medlardoor/mesh/tests/test_watching.py
@@ -95,3 +95,75 @@
     await _publish_and_wait(six)
     await asyncio.sleep(1.0)
     assert sent == ["node"]
+
+
+def _publish_number(group, number):
+    group.publish(f"version {number}", *group_module.DOCUMENT)
+
+
+async def _until_in_force(nodes, number, timeout_s=5.0):
+    await group_module.wait_until(
+        lambda: all(
+            member.node._holder.table.document.version == number
+            for member in nodes
+        ),
+        timeout_s,
+    )
+
+
+@pytest.fixture
+async def returned(six):
+    """Six nodes whose store has returned from a copy without versions 3 and 4.
+
+    Nodes that do not watch have not heard of it from the store.
+    """
+    _publish_number(six, 2)
+    older = six.table.copy()
+    for number in (3, 4):
+        _publish_number(six, number)
+        await _until_in_force(six.members.values(), number)
+    six.table.restore(older)
+    yield six
+
+
+async def test_change_after_a_return_reaches_all_nodes(returned):
+    """A node compares revisions of another era with its own."""
+    _publish_number(returned, 5)
+    await _until_in_force(returned.members.values(), 5, timeout_s=2.0)
+
+
+async def test_node_started_after_a_return_gets_the_document(returned):
+    """A node that starts serves by the older copy in the store."""
+    started = await returned.add("s6", "stock")
+    await group_module.wait_until(lambda: started.node.is_ready)
+    await _until_in_force([started], 4)
+    await asyncio.sleep(1.0)
+    await _until_in_force(returned.members.values(), 4, timeout_s=0.1)
+
+
+async def test_withdrawn_key_is_refused_by_a_node_started_after_a_return(six):
+    """A key that was withdrawn before the return is accepted again after it."""
+    six.publish("version 2", "team t1 k1,k2 1", *group_module.DOCUMENT)
+    older = six.table.copy()
+    six.publish("version 3", "team t1 k2 1", *group_module.DOCUMENT)
+    await _until_in_force(six.members.values(), 3)
+    six.table.restore(older)
+    started = await six.add("s6", "stock")
+    await group_module.wait_until(lambda: started.node.is_ready)
+    await _until_in_force([started], 3)
+    answer = await started.call("/read/", lines=["Authorization: Bearer k1"])
+    assert answer.status == 401
+
+
+async def test_document_of_an_earlier_era_is_sent_once(returned):
+    """A node requests a document again and again that it does not adopt."""
+    _publish_number(returned, 5)
+    await _until_in_force(returned.members.values(), 5)
+    offered = []
+    for member in returned.members.values():
+        offer = member.node._holder.offer
+        member.node._holder.offer = lambda *values, offer=offer: (
+            offered.append(values[-1]) or offer(*values)
+        )
+    await asyncio.sleep(1.5)
+    assert offered.count("node") == 0
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -40,12 +40,12 @@
 _MAX_LIST_BYTES = 8 * client.MAX_VALUE_BYTES
 _MAX_PAGES = 64
 
-# An era is counted from the returns of the store, so more digits are an error.
+# At most `versions.MAX_ERA`.
 _ERA = re.compile(rb"[0-9]{1,6}")
 
 
 _Revision = typing.Annotated[
-    int, pydantic.Field(ge=0, lt=1 << versions.REVISION_BITS)
+    int, pydantic.Field(ge=0, le=versions.MAX_REVISION)
 ]
 
 
--- a/medlardoor/store/versions.py
+++ b/medlardoor/store/versions.py
@@ -7,10 +7,12 @@
 its era.
 """
 
-__all__ = ["compose", "era_of", "revision_of"]
+__all__ = ["MAX_ERA", "MAX_REVISION", "compose", "era_of", "revision_of"]
 
+# A version fits into 64 bits with a sign.
 REVISION_BITS = 40
-_REVISION_MASK = (1 << REVISION_BITS) - 1
+MAX_REVISION = (1 << REVISION_BITS) - 1
+MAX_ERA = 999_999
 
 
 def compose(era: int, revision: int) -> int:
@@ -21,12 +23,12 @@
         revision: Number of the change.
 
     Raises:
-        ValueError: If the era is negative or the revision does not fit.
+        ValueError: If the era or the revision is out of range.
     """
-    if era < 0 or not 0 <= revision <= _REVISION_MASK:
+    if not 0 <= era <= MAX_ERA or not 0 <= revision <= MAX_REVISION:
         raise ValueError(
-            f"expected an era of at least 0 and a revision below"
-            f" 2**{REVISION_BITS}, got {era} and {revision}"
+            f"expected an era up to {MAX_ERA} and a revision up to"
+            f" {MAX_REVISION}, got {era} and {revision}"
         )
     return era << REVISION_BITS | revision
 
@@ -38,4 +40,4 @@
 
 def revision_of(version: int) -> int:
     """Returns the number of a change within the store's era."""
-    return version & _REVISION_MASK
+    return version & MAX_REVISION
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -123,6 +123,11 @@
   19: bool lends,              // The sender may lend tokens of teams.
   20: bool applies_limits,     // The sender applies the limit on requests that
                                // its upstream names in responses.
+  21: i64 document_number,     // The operator's number of the document.
+  22: i64 document_stored,     // Version of the stored object, with its era;
+                               // document_revision lacks the era.
+  23: i32 store_era,           // Highest era of the store that the sender has
+                               // heard of.
 }
 
 struct RunCall {
@@ -169,8 +174,9 @@
 }
 
 struct RouteTransfer {
-  1: i64 revision,             // Version of the object in the platform.
+  1: i64 revision,             // Revision of the object in the platform.
   2: binary value,             // The object, unchanged.
+  3: i64 stored,               // Version of the object, with its era.
 }
 
 // Limits of teams; see teams/lender.py.
