Rely only on watches that have followed the store's return

A node leaves watching to two others of its failure domain. One of those that has not noticed a return yet, or is of an earlier build and goes on from a revision of before it, hears of no change, and the nodes that rely on it are late (CONFIG).

A node now follows the era of the store, from its own answers and from the statuses of other nodes (new field), and counts only watches of nodes that have reached it. The metrics medlardoor_store_era and medlardoor_document_version show what a node knows.

--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -9,7 +9,7 @@
 import logbook
 
 from medlardoor import logs
-from medlardoor.membership import neighbours, watchers
+from medlardoor.membership import neighbours
 from medlardoor.mesh import (
     document_exchange,
     documents,
@@ -20,6 +20,7 @@
     roster,
     runs,
     statuses,
+    store_era,
 )
 from medlardoor.mesh import settings as settings_module
 from medlardoor.routing import placement
@@ -65,6 +66,7 @@
         settings: Settings of the node.
         local: The local upstream.
         holder: Holder of the route document exchanged with other nodes.
+        era: Era of the store; statuses of other nodes carry it.
         make_status: Returns the current status of this node.
         events: Receives the messages that concern other parts of the node.
         generator: Random number generator for the redial jitter.
@@ -75,6 +77,7 @@
         settings: settings_module.MeshSettings,
         local: local_upstream.LocalUpstream,
         holder: documents.DocumentHolder,
+        era: store_era.StoreEra,
         make_status: collections.abc.Callable[[], ttypes.NodeStatus],
         events: fleet_events.FleetEvents,
         generator: random.Random,
@@ -82,6 +85,7 @@
         self._settings = settings
         self._link_settings = settings.links
         self._local = local
+        self._era = era
         self._make_status = make_status
         self._events = events
         self._loop = asyncio.get_running_loop()
@@ -128,22 +132,6 @@
         known = self._roster.peers.values()
         return any(peer.link is not None for peer in known)
 
-    @property
-    def is_covered(self) -> bool:
-        """Whether enough linked nodes of its domain watch the routes."""
-        now = self._loop.time()
-        own_domain = self._settings.failure_domain
-        watching = [
-            peer.instance
-            for peer in self._roster.dialled_links.values()
-            if peer.status is not None
-            and peer.status.watches
-            and peer.status.failure_domain == own_domain
-            and peer.silent_intervals(now)
-            <= self._link_settings.suspect_after_intervals
-        ]
-        return watchers.is_covered(self._settings.instance, watching)
-
     def record_node(
         self, node: neighbours.KnownNode, address: settings_module.Address
     ) -> None:
@@ -283,6 +271,7 @@
 
     def _on_status(self, link: links.Link, status: ttypes.NodeStatus) -> None:
         """Processes a status message."""
+        self._era.record(status.store_era, "node")
         self._record_addresses(status)
         self._roster.resend_left(link, status)
         peer = self._roster.dialled_links.get(link)
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -11,6 +11,7 @@
 from medlardoor.blackboard import board as board_module
 from medlardoor.membership import announcements
 from medlardoor.mesh import (
+    coverage,
     crashes,
     dispatch,
     document_watch,
@@ -27,6 +28,7 @@
     presence,
     recording,
     server_connection,
+    store_era,
     supervision,
 )
 from medlardoor.mesh import settings as settings_module
@@ -92,14 +94,19 @@
             self.handle_upstream_change,
         )
         self._holder = documents.DocumentHolder(decoder)
+        self._era = store_era.StoreEra(store)
         self._fleet = fleet.Fleet(
             settings,
             self._local,
             self._holder,
+            self._era,
             self._build_status,
             self,
             generator,
         )
+        self._coverage = coverage.WatchCoverage(
+            settings, self._fleet.roster, self._era
+        )
         self._lending = lending.TokenLending(
             settings,
             self._holder,
@@ -124,7 +131,7 @@
             store,
             document_key,
             self._holder,
-            lambda: self._fleet.is_covered,
+            lambda: self._coverage.is_covered,
             self._fleet.status_changed,
             generator,
         )
@@ -134,7 +141,7 @@
             self._fleet.record_node,
             self.restore_departure,
             lambda: self._fleet.has_open_link,
-            lambda: self._fleet.is_covered,
+            lambda: self._coverage.is_covered,
             generator,
         )
         self._connections: set[server_connection.ServerConnection] = set()
@@ -342,6 +349,7 @@
             watches=self._watch.is_watching,
             lends=self._lending.can_lend or None,
             applies_limits=True,
+            store_era=self._era.current,
         )
 
     def restore_departure(self, upstream_id: str, born_ms: int) -> None:
@@ -364,6 +372,7 @@
 
     def tick(self) -> None:
         """Performs periodic work; see `FleetEvents`."""
+        self._era.check()
         self._lending.tick()
 
     def link_closed(self, link: links.Link, dialled: str | None) -> None:
@@ -396,6 +405,8 @@
             self._watch,
             {
                 "document_revision": self._holder.revision,
+                "document_version": self._holder.version.number,
+                "store_era": self._era.current or 0,
                 "buffered_bytes": self._buffers.used_bytes,
             },
             self._lending.shares(),
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -7,19 +7,16 @@
 
 import anyio
 import httpcore
-import logbook
 import pydantic
 import result
 
-from medlardoor import errors, logs
+from medlardoor import errors
 from medlardoor.mesh import settings as mesh_settings
 from medlardoor.platform import names
 from medlardoor.store import calls, client, versions
 
 __all__ = ["PlatformStore"]
 
-_LOG = logbook.Logger("store")
-
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -121,14 +118,7 @@
         if self._era is not None and era < self._era:
             detail = f"answer of era {era}, expected {self._era}"
             return result.Err(errors.StoreUnavailable(key, detail))
-        known, self._era = self._era, era
-        logs.log_event(
-            _LOG,
-            logbook.INFO if known is None else logbook.WARNING,
-            "store_era_changed",
-            era=era,
-            known=known,
-        )
+        self._era = era
         return answer
 
     def _version(self, revision: int) -> int:
