Write the entry of a node again when a return of the store has lost it

Nothing noticed that what a node had written to the store was gone: its entry, by which starting nodes find it, and the leaving of its upstream, by which its own next process does not use that upstream again.

Each node that hears of a new era reads its entry and writes it again if it is missing or older.

--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -142,8 +142,10 @@
             self.restore_departure,
             lambda: self._fleet.has_open_link,
             lambda: self._coverage.is_covered,
+            lambda: self._fleet.size,
             generator,
         )
+        self._era.listen(self._presence.verify)
         self._connections: set[server_connection.ServerConnection] = set()
         self._is_stopping = False
         self._admitted_rank = 0
--- a/medlardoor/mesh/presence.py
+++ b/medlardoor/mesh/presence.py
@@ -28,6 +28,11 @@
 COVERED_LIST_INTERVAL_S = 300.0
 ISOLATED_LIST_INTERVAL_S = 2.0
 
+# Entries that the nodes of the whole fleet verify per second after a return of
+# the store. Each takes a read, and a write if it was lost; the smallest store
+# in use serves 400 writes per second.
+VERIFICATIONS_PER_S = 100
+
 MIN_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 1.0
 
@@ -74,6 +79,7 @@
         has_open_link: Returns whether a link to another node is open.
         is_covered: Returns whether enough nodes that watch the store are
             linked, so that this node learns of new nodes from them.
+        count_nodes: Returns the number of known nodes, including this one.
         generator: Random number generator for the jitter of pauses.
     """
 
@@ -87,6 +93,7 @@
         restore_departure: collections.abc.Callable[[str, int], None],
         has_open_link: collections.abc.Callable[[], bool],
         is_covered: collections.abc.Callable[[], bool],
+        count_nodes: collections.abc.Callable[[], int],
         generator: random.Random,
     ):
         self._store = store
@@ -94,6 +101,7 @@
         self._restore_departure = restore_departure
         self._has_open_link = has_open_link
         self._is_covered = is_covered
+        self._count_nodes = count_nodes
         self._generator = generator
         self._instance = settings.instance
         self._key = INSTANCE_KEY_PREFIX + settings.instance
@@ -111,6 +119,8 @@
         self._has_read_own = False
         self._was_registered = False
         self._has_tried_to_write = False
+        self._must_verify = False
+        self._is_removed = False
 
     @property
     def has_read_own(self) -> bool:
@@ -141,6 +151,17 @@
         self._desired = self._desired.model_copy(
             update={"left_id": upstream_id, "left_born_ms": born_ms}
         )
+        self._wake()
+
+    def verify(self) -> None:
+        """Has the stored object verified, and written again if it was lost.
+
+        Called when the store has returned from an older copy.
+        """
+        self._must_verify = True
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
 
@@ -158,6 +179,19 @@
             await self._retry_until_done(self._write_own)
             self._has_read_own = True
             await changed.wait()
+            if self._must_verify:
+                await self._wait_for_turn()
+                self._must_verify = False
+                await self._retry_until_done(self._read_own)
+
+    async def _wait_for_turn(self) -> None:
+        """Spreads the verifications of the fleet over time.
+
+        A departure is stored at once.
+        """
+        longest_s = self._count_nodes() / VERIFICATIONS_PER_S
+        with anyio.move_on_after(self._generator.uniform(0.0, longest_s)):
+            await self._changed.wait()
 
     async def _keep_listing(self) -> None:
         while True:
@@ -173,6 +207,7 @@
 
     async def remove(self) -> None:
         """Deletes the object of this node when the instance is removed."""
+        self._is_removed = True
         await self._store.delete(self._key)
 
     async def _retry_until_done(
@@ -191,24 +226,23 @@
         stored = read.ok_value
         if stored is None:
             self._version = 0
+            self._last_written = None
             return True
         self._version = stored.version
-        known = _parse(stored)
-        if known is not None:
-            self._last_written = known
-            if known.left_id and not self._desired.left_id:
-                self._desired = self._desired.model_copy(
-                    update={
-                        "left_id": known.left_id,
-                        "left_born_ms": known.left_born_ms,
-                    }
-                )
-                self._restore_departure(known.left_id, known.left_born_ms)
+        known = self._last_written = _parse(stored)
+        if known is not None and known.left_id and not self._desired.left_id:
+            self._desired = self._desired.model_copy(
+                update={
+                    "left_id": known.left_id,
+                    "left_born_ms": known.left_born_ms,
+                }
+            )
+            self._restore_departure(known.left_id, known.left_born_ms)
         return True
 
     async def _write_own(self) -> bool:
         desired = self._desired
-        if desired == self._last_written:
+        if self._is_removed or desired == self._last_written:
             return True
         value = desired.model_dump_json().encode()
         updated = await self._store.update(self._key, value, self._version)
--- a/medlardoor/platform/tests/test_store.py
+++ b/medlardoor/platform/tests/test_store.py
@@ -238,6 +238,7 @@
         lambda upstream_id, born_ms: restored.append((upstream_id, born_ms)),
         lambda: True,
         lambda: True,
+        lambda: 1,
         random.Random(1),
     )
 
