--- a/medlardoor/soak/tests/test_world.py
+++ b/medlardoor/soak/tests/test_world.py
@@ -1,9 +1,11 @@
 """Tests of planned stops in the soak."""
 
+import random
+
 import anyio
 import pytest
 
-from medlardoor.soak import world
+from medlardoor.soak import evidence, world
 
 
 class _Process:
@@ -45,3 +47,35 @@
     states = iter([True] * 50 + [False] * 1_000)
     ended = anyio.run(world.wait_exit, _Process(1_000), lambda: next(states))
     assert not ended
+
+
+class _EndedProcess:
+    """Process that has ended as it was told."""
+
+    exit_status = 0
+
+    def send_signal(self, number):
+        pass
+
+    def begin_stop(self):
+        pass
+
+    def stop(self, timeout_s):
+        return 0
+
+
+def test_end_of_the_run_is_not_a_finding(tmp_path):
+    """Processes that end with the run are reported and started again."""
+    ledger = evidence.Ledger()
+
+    async def main():
+        made = world.World(tmp_path, ledger, random.Random(1), lambda m: True)
+        member = made._make("n0", "stock", "127.0.0.1", ("127.0.0.1", 1))
+        made.members.append(member)
+        member.process = _EndedProcess()
+        made.close()
+        with anyio.move_on_after(0.5):
+            await made._watch_exit(member)
+
+    anyio.run(main)
+    assert ledger.findings == []
