--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -230,32 +230,19 @@
     async def _listen(
         self, control: handlers.RequestHandler
     ) -> list[asyncio.Server]:
-        settings = self._settings
-        ready = observing.PageHandler(
+        pages = observing.PageHandler(
             {
                 READY_PATH: observing.Page(self._render_ready),
                 METRICS_PATH: observing.Page(self._render_metrics),
             }
         )
-        listeners = [
-            (settings.caller_address, self._dispatcher),
-            (settings.ready_address, ready),
-            (settings.control_address, control),
-        ]
-        if settings.metrics_address is not None:
-            listeners.append((settings.metrics_address, ready))
-        servers = [
-            await listening.listen_for_requests(
-                address, handler, self._connections, self._buffers
-            )
-            for address, handler in listeners
-        ]
-        servers.append(
-            await listening.listen(
-                settings.link_address, self._fleet.make_inbound
-            )
+        return await listening.listen_for_all(
+            self._settings,
+            listening.RequestHandlers(self._dispatcher, pages, control),
+            self._fleet.make_inbound,
+            self._connections,
+            self._buffers,
         )
-        return servers
 
     async def _stop(self) -> None:
         """Stops the node when no request runs or the grace period ends."""
@@ -282,8 +269,10 @@
         self._dispatcher.refuse_deadlines_after(ends_at)
         for connection in list(self._connections):
             connection.close_if_idle()
-        while self._is_busy and self._loop.time() < ends_at:
-            await self._wait_for_poll()
+        while (  # noqa: ASYNC110
+            self._is_busy and self._loop.time() < ends_at
+        ):
+            await anyio.sleep(STOP_POLL_INTERVAL_S)
         logs.log_event(
             _LOG,
             logbook.INFO,
@@ -293,9 +282,6 @@
             after_ms=int((self._loop.time() - started_at) * 1_000),
         )
 
-    async def _wait_for_poll(self) -> None:
-        await anyio.sleep(STOP_POLL_INTERVAL_S)
-
     @property
     def _is_busy(self) -> bool:
         admission_queue = self._local.admission_queue
