--- a/medlardoor/adoption/tests/test_watching.py
+++ b/medlardoor/adoption/tests/test_watching.py
@@ -62,6 +62,22 @@
     assert store.calls.total <= 600 / 30 + 5 + 10
 
 
+async def test_default_watch_stays_within_the_planned_rate_of_calls():
+    """Watches that end early multiply the calls of all watching nodes."""
+    node, store = test_controller.Node(), memory.MemoryObjectStore()
+    store.table.update(KEY, b"1", 0).unwrap()
+    watcher = watching.DocumentWatcher(
+        node.adoption,
+        store,
+        settings.StoreSettings(),
+        "trial",
+        random.Random(1),
+    )
+    await _run(watcher, 600.0)
+    # docs/CAPACITY.md plans 172 calls per second for 860 watching nodes.
+    assert store.calls.total <= 600 * 172 / 860 + 2
+
+
 async def test_silent_watch_does_not_delay_a_document():
     """A watch on a connection that stopped working hides newer documents."""
     defaults = settings.StoreSettings()
