--- a/medlardoor/platform/tests/test_restored_store.py
+++ b/medlardoor/platform/tests/test_restored_store.py
@@ -1,21 +1,15 @@
 """Tests of a node's documents when the store returns from an older copy."""
 
-import asyncio
-import contextlib
 import json
 import random
 
 import anyio
 import pytest
 
-from medlardoor.mesh import (
-    document_watch,
-    documents,
-    server_connection,
-    settings,
-)
+from medlardoor.mesh import document_watch, documents, settings
 from medlardoor.platform import documents as platform_documents
-from medlardoor.platform import names, store
+from medlardoor.platform import names
+from medlardoor.platform.tests import serving
 from medlardoor.standins import object_store
 from medlardoor.store import versions
 
@@ -76,34 +70,19 @@
 
 @pytest.fixture
 async def unwatched():
-    async with _serve_store() as unwatched:
-        yield unwatched
+    standin = object_store.StandinStore()
+    async with serving.serve(standin) as client:
+        yield Watched(standin, client)
 
 
 @pytest.fixture
-async def watched():
-    async with _serve_store() as watched, anyio.create_task_group() as group:
-        group.start_soon(watched.watch.run)
-        yield watched
+async def watched(unwatched):
+    async with anyio.create_task_group() as group:
+        group.start_soon(unwatched.watch.run)
+        yield unwatched
         group.cancel_scope.cancel()
 
 
-@contextlib.asynccontextmanager
-async def _serve_store():
-    standin = object_store.StandinStore()
-    connections = set()
-    server = await asyncio.get_running_loop().create_server(
-        lambda: server_connection.ServerConnection(standin, connections),
-        "127.0.0.1",
-        0,
-    )
-    host, port = server.sockets[0].getsockname()
-    client = store.PlatformStore(settings.Address(host, port))
-    yield Watched(standin, client)
-    server.close()
-    await client.aclose()
-
-
 @pytest.mark.parametrize("lost_changes", [1, 2, 5])
 async def test_change_after_a_return_is_in_force_in_time(watched, lost_changes):
     """A change with a revision that was given out before is ignored."""
--- a/medlardoor/platform/tests/test_store.py
+++ b/medlardoor/platform/tests/test_store.py
@@ -1,7 +1,5 @@
 """Tests of the store client against the stand-in of the platform's store."""
 
-import asyncio
-import contextlib
 import json
 import random
 import urllib.parse
@@ -9,10 +7,10 @@
 import anyio
 import pytest
 
-from medlardoor.mesh import presence, server_connection, settings
+from medlardoor.mesh import presence, settings
 from medlardoor.platform import settings as platform_settings
 from medlardoor.platform import store
-from medlardoor.platform.tests import test_settings
+from medlardoor.platform.tests import serving, test_settings
 from medlardoor.soak import relay
 from medlardoor.standins import object_store
 from medlardoor.store import versions
@@ -27,23 +25,6 @@
     return "asyncio"
 
 
-@contextlib.asynccontextmanager
-async def _serve(standin):
-    connections = set()
-    server = await asyncio.get_running_loop().create_server(
-        lambda: server_connection.ServerConnection(standin, connections),
-        "127.0.0.1",
-        0,
-    )
-    host, port = server.sockets[0].getsockname()
-    client = store.PlatformStore(settings.Address(host, port))
-    try:
-        yield client
-    finally:
-        server.close()
-        await client.aclose()
-
-
 @pytest.fixture(params=[None, 1])
 async def standin(request):
     """A store without eras, and one that has not returned from a copy."""
@@ -59,7 +40,7 @@
 
 @pytest.fixture
 async def client(standin):
-    async with _serve(standin) as client:
+    async with serving.serve(standin) as client:
         yield client
 
 
@@ -116,7 +97,7 @@
 async def test_silent_idle_connection_is_not_used_again(standin):
     """A call hangs on an idle connection that has stopped working."""
     standin.put("config", "main", {"n": 1})
-    async with _serve(standin) as direct:
+    async with serving.serve(standin) as direct:
         target = urllib.parse.urlsplit(direct._base)
         between = relay.Relay((target.hostname, target.port))
         await between.listen("127.0.0.1", 0)
