Let the store of the soak return from older copies

With returns, changes are lost, the store is away for up to 2 s, and the operator writes the last document again and then changes a route.

--- a/medlardoor/cli/soak.py
+++ b/medlardoor/cli/soak.py
@@ -1,5 +1,6 @@
 """Command line of the fault soak; not part of the system."""
 
+import functools
 import pathlib
 import random
 import sys
@@ -49,7 +50,11 @@
     def _run(self, seed: int) -> bool:
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         minutes = float(self.option("minutes"))
-        report = anyio.run(run_module.run, seed, minutes, directory)
+        report = anyio.run(
+            functools.partial(
+                run_module.run, seed, minutes, directory, has_returns=True
+            )
+        )
         self.line(f"seed {seed}: {report.outcomes}")
         for finding in report.findings:
             self.line(
--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -20,6 +20,15 @@
 SHORTEST_S = 0.3
 LONGEST_S = 4.0
 
+# Bounds of a return of the store: the pause before it, the age of the copy, how
+# long the store is away, and the time until the operator writes again, all in
+# seconds, and the number of changes that are lost.
+RETURN_PAUSE_S = 12.0
+COPY_AGE_S = 6.0
+AWAY_S = 2.0
+MAX_LOST_CHANGES = 4
+WRITTEN_AGAIN_S = 1.5
+
 # What an upstream serves on after its leaving was acknowledged, in seconds.
 DRAIN_S = 2.5
 
@@ -110,6 +119,43 @@
                     await anyio.sleep(LONGEST_S)
                 await anyio.sleep(draw.uniform(0.0, MAX_PAUSE_S))
 
+    async def return_store(
+        self, until_s: float, generator: random.Random
+    ) -> None:
+        """Lets the store return from older copies until a time.
+
+        Some changes of a route are lost. Afterwards the operator writes the
+        last one again, and then makes another one.
+
+        Args:
+            until_s: End, in seconds of the ledger's time.
+            generator: Source of the draws, so that those of the other faults
+                do not depend on returns.
+        """
+        ledger = self._world.ledger
+        store = self._world.store
+        while True:
+            await anyio.sleep(generator.uniform(0.0, RETURN_PAUSE_S))
+            older = store.copy()
+            for _ in range(generator.randrange(MAX_LOST_CHANGES + 1)):
+                self._move_browsing(generator)
+            await anyio.sleep(generator.uniform(0.0, COPY_AGE_S))
+            if ledger.now_s >= until_s:
+                return
+            self.log.append(f"{ledger.now_s:7.2f} s return_store")
+            self._active += 1
+            store.fault = generator.choice(
+                (object_store.StoreFault.BUSY, object_store.StoreFault.SILENT)
+            )
+            await anyio.sleep(generator.uniform(0.0, AWAY_S))
+            store.restore(older)
+            store.fault = object_store.StoreFault.NONE
+            await anyio.sleep(generator.uniform(0.0, WRITTEN_AGAIN_S))
+            self._world.write_document_again()
+            self._move_browsing(generator)
+            self._active -= 1
+            self._last_end = ledger.now_s
+
     async def watch_own_stalls(self) -> None:
         """Notes when this process itself stood still, for ever.
 
@@ -159,7 +205,10 @@
             member.process.send_signal(signal.SIGHUP)
 
     async def _move_route(self, member: Member) -> None:
-        target = self._generator.choice(world_module.SERVICES)
+        self._move_browsing(self._generator)
+
+    def _move_browsing(self, generator: random.Random) -> None:
+        target = generator.choice(world_module.SERVICES)
         self._world.write_document(browse=target)
 
     async def _limit_upstream(self, member: Member) -> None:
--- a/medlardoor/soak/run.py
+++ b/medlardoor/soak/run.py
@@ -42,13 +42,20 @@
     directory: pathlib.Path
 
 
-async def run(seed: int, minutes: float, directory: pathlib.Path) -> Report:
+async def run(
+    seed: int,
+    minutes: float,
+    directory: pathlib.Path,
+    *,
+    has_returns: bool = False,
+) -> Report:
     """Runs the system with faults.
 
     Args:
         seed: Seed of all random draws.
         minutes: How long faults are injected.
         directory: Where settings and logs are written.
+        has_returns: Whether the store returns from older copies.
     """
     generator = random.Random(seed)
     window_s = evidence.LIMIT_WINDOW_S
@@ -68,6 +75,9 @@
             await made.start(group)
             group.start_soon(series.watch_own_stalls)
             until_s = ledger.now_s + minutes * 60
+            if has_returns:
+                returns = random.Random(~seed)
+                group.start_soon(series.return_store, until_s, returns)
             await series.run(until_s)
             await anyio.sleep(RECOVER_S)
             for _ in range(MAX_OBSERVATIONS):
--- a/medlardoor/soak/world.py
+++ b/medlardoor/soak/world.py
@@ -140,6 +140,7 @@
         self._network = f"127.{first}.{second}"
         self._store_connections: set[server_connection.ServerConnection] = set()
         self._version = 0
+        self._document: dict[str, typing.Any] = {}
         self.ledger = ledger
         self.store = object_store.StandinStore()
         self.members: list[Member] = []
@@ -209,12 +210,17 @@
             "listeners": [{"host": "soak.example", "rules": rules}],
             "clusters": [{"name": name} for name in SERVICES],
         }
-        self.store.put(*names.CONFIG_KEY.split("/"), spec)
+        self._document = spec
+        self.write_document_again()
         for kind in KINDS:
             self.ledger.confirmed(
                 kind.name, changes.get(kind.name, kind.service)
             )
 
+    def write_document_again(self) -> None:
+        """Writes the last document again, as after a return of the store."""
+        self.store.put(*names.CONFIG_KEY.split("/"), self._document)
+
     def start_node(self, member: Member) -> None:
         """Starts the node process of a member."""
         member.process = processes.ManagedProcess(
@@ -256,13 +262,18 @@
 
     def close(self) -> None:
         """Ends all processes that the run has started."""
+        # A task that watches for ends may still run once after its
+        # cancellation, so it must not find the processes that end here.
+        ending = []
         for member in self.members:
-            if member.process is not None:
-                member.process.send_signal(signal.SIGCONT)
-                member.process.begin_stop()
+            process, member.process = member.process, None
+            if process is not None:
+                process.send_signal(signal.SIGCONT)
+                process.begin_stop()
+                ending.append(process)
+        for process in ending:
+            process.stop(2.0)
         for member in self.members:
-            if member.process is not None:
-                member.process.stop(2.0)
             member.link_relay.close()
             member.store_relay.close()
             member.upstream.crash()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Seeds of the soak that have failed stay regression cases."""
 
+import functools
 import pathlib
 
 import anyio
@@ -26,3 +27,12 @@
     report = anyio.run(run.run, seed, minutes, tmp_path)
     assert report.findings == (), "\n".join(report.faults)
     assert sum(report.outcomes.values()) > 200
+
+
+def test_promises_hold_when_the_store_returns(tmp_path):
+    """Nodes keep an outdated document once the store has returned."""
+    report = anyio.run(
+        functools.partial(run.run, 380303, 0.5, tmp_path, has_returns=True)
+    )
+    assert report.findings == (), "\n".join(report.faults)
+    assert any("return_store" in line for line in report.faults)
