Ignore an era that cannot follow the known one

One malformed header with a large number would have made a node refuse all later answers of the store as outdated, and its statuses would have made all nodes watch the store for good, until their next start. An era more than 100 above the known one, in an answer or a status, is now malformed and logged. Found by asking what one malformed message can do; the two tests fail without the check.

--- a/medlardoor/mesh/store_era.py
+++ b/medlardoor/mesh/store_era.py
@@ -5,7 +5,7 @@
 import logbook
 
 from medlardoor import logs
-from medlardoor.store import client
+from medlardoor.store import client, versions
 
 __all__ = ["StoreEra"]
 
@@ -50,6 +50,16 @@
         known = self._current
         if era is None or (known is not None and era <= known):
             return
+        if not versions.is_plausible_era(era, known):
+            logs.log_event(
+                _LOG,
+                logbook.WARNING,
+                "store_era_invalid",
+                era=era,
+                known=known,
+                source=source,
+            )
+            return
         self._current = era
         logs.log_event(
             _LOG,
--- a/medlardoor/mesh/tests/test_coverage.py
+++ b/medlardoor/mesh/tests/test_coverage.py
@@ -59,6 +59,14 @@
     assert _is_covered(1, 2, 2)
 
 
+async def test_malformed_era_of_a_node_changes_nothing():
+    """All nodes watch for good since one of them has sent a wrong era."""
+    known = store_era.StoreEra(memory.MemoryObjectStore())
+    known.record(2, "store")
+    known.record(777_777, "node")
+    assert known.current == 2
+
+
 async def test_return_is_heard_of_from_other_nodes():
     """A node that makes no calls does not notice that the store returned."""
     async with group.run_group() as nodes:
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -7,16 +7,19 @@
 
 import anyio
 import httpcore
+import logbook
 import pydantic
 import result
 
-from medlardoor import errors
+from medlardoor import errors, logs
 from medlardoor.mesh import settings as mesh_settings
 from medlardoor.platform import names
 from medlardoor.store import calls, client, versions
 
 __all__ = ["PlatformStore"]
 
+_LOG = logbook.Logger("store")
+
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -112,8 +115,8 @@
         answer = await self._caller.call(key, method, url, **options)
         if answer.is_err():
             return answer
-        era = _parse_era(answer.ok_value)
-        if era is None or era == self._era:
+        era = self._parse_era(answer.ok_value)
+        if era is None:
             return answer
         if self._era is not None and era < self._era:
             detail = f"answer of era {era}, expected {self._era}"
@@ -121,6 +124,26 @@
         self._era = era
         return answer
 
+    def _parse_era(self, response: httpcore.Response) -> int | None:
+        """Returns the era in a response; None if it has no valid one."""
+        wanted = names.STORE_ERA_HEADER.lower()
+        for name, value in response.headers:
+            if name.lower() != wanted:
+                continue
+            if _ERA.fullmatch(value):
+                era = int(value)
+                if versions.is_plausible_era(era, self._era):
+                    return era
+            logs.log_event(
+                _LOG,
+                logbook.WARNING,
+                "store_era_invalid",
+                era=value[:32].decode("latin-1"),
+                known=self._era,
+                source="store",
+            )
+        return None
+
     def _version(self, revision: int) -> int:
         """Version of a revision in the last answer."""
         return versions.compose(self._era or 0, revision)
@@ -317,14 +340,6 @@
             return result.Err(calls.failed(key, error))
 
 
-def _parse_era(response: httpcore.Response) -> int | None:
-    """Returns the era in a response; None if it is missing or malformed."""
-    for name, value in response.headers:
-        if name.lower() == names.STORE_ERA_HEADER.lower():
-            return int(value) if _ERA.fullmatch(value) else None
-    return None
-
-
 def _valid_objects(items: tuple[typing.Any, ...]) -> list[_Object]:
     objects = []
     for item in items:
--- a/medlardoor/platform/tests/test_restored_store.py
+++ b/medlardoor/platform/tests/test_restored_store.py
@@ -198,7 +198,9 @@
     assert (await unwatched.client.list("config/")).is_err()
 
 
-@pytest.mark.parametrize("era", [b"", b"-1", b"x", b"2.5", b"9" * 40])
+@pytest.mark.parametrize(
+    "era", [b"", b"-1", b"x", b"2.5", b"777777", b"9" * 40]
+)
 async def test_malformed_era_counts_as_the_known_one(unwatched, era):
     """One malformed header cuts a node off from the store."""
     version = await _known(unwatched, 1)
--- a/medlardoor/store/versions.py
+++ b/medlardoor/store/versions.py
@@ -7,13 +7,24 @@
 its era.
 """
 
-__all__ = ["MAX_ERA", "MAX_REVISION", "compose", "era_of", "revision_of"]
+__all__ = [
+    "MAX_ERA",
+    "MAX_REVISION",
+    "compose",
+    "era_of",
+    "is_plausible_era",
+    "revision_of",
+]
 
 # A version fits into 64 bits with a sign.
 REVISION_BITS = 40
 MAX_REVISION = (1 << REVISION_BITS) - 1
 MAX_ERA = 999_999
 
+# Returns that a process may miss. A larger step is a malformed value: taken for
+# an era, it would make all answers of the store look outdated.
+MAX_ERA_STEP = 100
+
 
 def compose(era: int, revision: int) -> int:
     """Returns the version of a change.
@@ -41,3 +52,13 @@
 def revision_of(version: int) -> int:
     """Returns the number of a change within the store's era."""
     return version & MAX_REVISION
+
+
+def is_plausible_era(era: int, known: int | None) -> bool:
+    """Whether an era may follow the known one.
+
+    Args:
+        era: The era.
+        known: Highest era so far; None if none is known.
+    """
+    return known is None or era <= known + MAX_ERA_STEP
