Ignore documents and statuses whose version is out of range

A transfer with a number that is no version of an object would have been adopted if its document was newer, and each later status of an earlier build would then have failed to be compared. Both are checked when they arrive.

--- a/medlardoor/mesh/document_exchange.py
+++ b/medlardoor/mesh/document_exchange.py
@@ -3,12 +3,17 @@
 import asyncio
 import collections.abc
 
+import logbook
+
+from medlardoor import logs
 from medlardoor.mesh import documents, links
 from medlardoor.store import versions
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 __all__ = ["DocumentExchange"]
 
+_LOG = logbook.Logger("documents")
+
 # Minimum time between two requests for the document, in seconds, so that it is
 # not requested again while a transfer is in progress.
 REQUEST_INTERVAL_S = 0.3
@@ -84,6 +89,14 @@
         stored = transfer.stored
         if stored is None:
             stored = transfer.revision or 0
+        if not versions.is_valid(stored):
+            logs.log_event(
+                _LOG,
+                logbook.WARNING,
+                "document_transfer_invalid",
+                stored=stored,
+            )
+            return
         self._holder.offer(stored, transfer.value or b"", "node")
 
     def _request_document(self, link: links.Link) -> None:
--- a/medlardoor/mesh/statuses.py
+++ b/medlardoor/mesh/statuses.py
@@ -166,6 +166,7 @@
     return (
         _is_valid_endpoint(status.instance, status.host, status.port)
         and 0 <= (status.document_revision or 0) <= versions.MAX_REVISION
+        and versions.is_valid(status.document_stored or 0)
         and 0 <= (status.store_era or 0) <= versions.MAX_ERA
     )
 
--- a/medlardoor/mesh/tests/test_document_exchange.py
+++ b/medlardoor/mesh/tests/test_document_exchange.py
@@ -88,3 +88,13 @@
     assert exchange.receive_status(**newer)
     exchange.exchange.receive(ttypes.RouteTransfer(stored=stored, value=b""))
     assert exchange.receive_status(**newer) == []
+
+
+@pytest.mark.parametrize("stored", [-1, 2**62])
+async def test_number_that_is_no_version_is_ignored(exchange, stored):
+    """One malformed transfer makes the comparison with statuses fail."""
+    exchange.exchange.receive(
+        ttypes.RouteTransfer(stored=stored, value=_value(9))
+    )
+    assert exchange.holder.version.number == 5
+    assert exchange.receive_status(document_revision=22) == []
--- a/medlardoor/store/versions.py
+++ b/medlardoor/store/versions.py
@@ -13,6 +13,7 @@
     "compose",
     "era_of",
     "is_plausible_era",
+    "is_valid",
     "revision_of",
 ]
 
@@ -54,6 +55,15 @@
     return version & MAX_REVISION
 
 
+def is_valid(version: int) -> bool:
+    """Whether a number is a version.
+
+    Args:
+        version: Number from another process.
+    """
+    return 0 <= version <= compose(MAX_ERA, MAX_REVISION)
+
+
 def is_plausible_era(era: int, known: int | None) -> bool:
     """Whether an era may follow the known one.
 
