--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -269,9 +269,7 @@
         self._dispatcher.refuse_deadlines_after(ends_at)
         for connection in list(self._connections):
             connection.close_if_idle()
-        while (  # noqa: ASYNC110
-            self._is_busy and self._loop.time() < ends_at
-        ):
+        while self._is_busy and self._loop.time() < ends_at:  # noqa: ASYNC110
             await anyio.sleep(STOP_POLL_INTERVAL_S)
         logs.log_event(
             _LOG,
