--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -227,8 +227,8 @@
     ]:
         """Makes one call; the object and the version to go on from.
 
-        A version of another era is no place to go on from: its revision may
-        have been given out again.
+        A watch cannot continue from a version of another era, since its
+        revision may have been given out again; the object is read instead.
         """
         if not self._is_of_known_era(after):
             return await self._read_with_version(key)
