--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 
 HOST = "orders.example"
 CALC_HOST = "calc.example"
-MEMORY_MB = 300
+MEMORY_MB = 200
 RESTART_S = 0.5
 REQUESTS_PER_S = 60
 TIME_LIMIT_MS = 6000
