Send a rejected attempt again on another connection only

Cause: responses are matched to requests by the attempt identifier. An attempt that an upstream has rejected may be sent to it again, under the same identifier and on the same kept connection. A late copy of the first rejection then counted as the response to the second send, which was taken as not run. It was sent a third time or refused, while the upstream was running it.

Ruled out: copies across connections (a copy can only arrive on the connection of its request) and frames between nodes, which carry a call number of their own for each send.

A connection now remembers the attempts rejected on it and is not used for them again, so that a rejection with the identifier of the request can only belong to its one send on this connection. After 64 rejections it is closed instead of forgetting one.

--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -166,6 +166,8 @@
             response, self.sent_to, self.ticket.started_at
         )
         result = self._upstream.to_result(self.run, response)
+        if result.outcome is errors.Outcome.NOT_RUN:
+            connection.record_rejection(self.run.attempt_id)
         self._upstream.return_connection(connection)
         self.finish(result)
         self._upstream.run_ended(self, is_answered=True, is_broken=False)
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -240,7 +240,8 @@
             handle.finish(self._refusal(errors.Reason.DEADLINE_EXCEEDED))
             return
         handle.holds_slot = True
-        connection = self._pool.acquire(handle.run.idempotent, now)
+        run = handle.run
+        connection = self._pool.acquire(run.attempt_id, run.idempotent, now)
         if connection is not None:
             handle.send_on(connection)
             return
--- a/medlardoor/mesh/upstream_connection.py
+++ b/medlardoor/mesh/upstream_connection.py
@@ -20,6 +20,10 @@
 
 _FIRST_FINAL_STATUS = 200
 
+# Number of rejected attempts that a connection remembers. It is closed when
+# there are more, so that it never carries one of them again.
+MAX_REJECTED_ATTEMPTS = 64
+
 
 class BreakReason(enum.Enum):
     """Reason why an exchange ended without a response."""
@@ -82,7 +86,10 @@
 
     A response whose attempt identifier differs from that of the request in
     progress is a duplicate response to an earlier request. It is skipped, and
-    the connection is not reused.
+    the connection is not reused. An upstream may also repeat a rejection, and
+    the same attempt may be sent to it again, so the identifier alone does not
+    tell which send a response belongs to. The owner therefore records
+    rejections and sends the attempt again on other connections only.
 
     Args:
         settings: Limits of connections.
@@ -121,6 +128,7 @@
         self._idle_since = self._loop.time()
         self._keep_alive_s = settings.max_idle_s
         self._requests_sent = 0
+        self._rejected_attempts: set[bytes] = set()
 
     @property
     def requests_sent(self) -> int:
@@ -140,6 +148,20 @@
         limit_s = min(max_idle_s, self._keep_alive_s / 2)
         return now - self._idle_since <= limit_s
 
+    def has_rejected(self, attempt_id: bytes) -> bool:
+        """Whether a response on the connection has rejected an attempt.
+
+        A late copy of that response may still arrive and would be taken for
+        the response to a second send of the attempt.
+        """
+        return attempt_id in self._rejected_attempts
+
+    def record_rejection(self, attempt_id: bytes) -> None:
+        """Records that a response has rejected an attempt."""
+        self._rejected_attempts.add(attempt_id)
+        if len(self._rejected_attempts) > MAX_REJECTED_ATTEMPTS:
+            self._must_close = True
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport."""
         self._transport = transport
--- a/medlardoor/mesh/upstream_pool.py
+++ b/medlardoor/mesh/upstream_pool.py
@@ -42,27 +42,32 @@
         return self._opened
 
     def acquire(
-        self, idempotent: bool, now: float
+        self, attempt_id: bytes, idempotent: bool, now: float
     ) -> upstream_connection.UpstreamConnection | None:
         """Returns an idle connection; None if a new one is needed.
 
         Args:
+            attempt_id: Attempt identifier of the request. Connections on which
+                the attempt was rejected before are left out.
             idempotent: Whether the request may be sent again if the upstream
                 closes the connection as the request is sent.
             now: Current time, in seconds.
         """
         settings = self._settings
-        while self._idle:
-            connection = self._idle.pop()
+        max_idle_s = settings.max_idle_s
+        if not idempotent:
+            max_idle_s = min(max_idle_s, settings.max_idle_not_idempotent_s)
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
             if not connection.is_usable(settings.max_idle_s, now):
+                del self._idle[index]
                 connection.abort()
-                continue
-            if idempotent or connection.is_usable(
-                settings.max_idle_not_idempotent_s, now
-            ):
+            elif not connection.is_usable(max_idle_s, now):
+                # All others have been idle for longer.
+                return None
+            elif not connection.has_rejected(attempt_id):
+                del self._idle[index]
                 return connection
-            self._idle.append(connection)
-            return None
         return None
 
     def return_connection(
