Hold bodies in contiguous memory, and bound trailers

Cause: the parts of a body were kept as one object each. The budget counted the 4 bytes of a chunk, of about 50 that it took, so 128 MB of budget were never reached at 200 MB. Ruled out: the budget itself (it holds for bodies in large parts) and unread responses, which it counts.

BodyBuffer appends the parts to one buffer. The same list of parts stood in connections of callers and in the client of the project's own interface; all three use the buffer now.

Related: a trailer or a chunk extension without end was collected by the parser without any limit, at quadratic cost. Bytes since the last complete head or part of a body now count towards the limit of heads, on all three paths. A chunked body over the limit that ended in one read was passed on and answered with 413 behind; it is refused before it is queued.

--- a/medlardoor/mesh/server_connection.py
+++ b/medlardoor/mesh/server_connection.py
@@ -8,6 +8,7 @@
 import logbook
 
 from medlardoor import logs
+from medlardoor.admission import body_buffer
 from medlardoor.admission import buffers as buffers_module
 from medlardoor.mesh import handlers, http_messages, pipeline
 
@@ -57,10 +58,11 @@
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._hosts: list[bytes] = []
-        self._body_parts: list[bytes] = []
-        self._body_bytes = 0
+        self._body = body_buffer.BodyBuffer()
         # Buffer space reserved for the body, in bytes.
         self._reserved_bytes = 0
+        # Bytes of heads, trailers and chunk extensions, which the parser
+        # collects, since the last complete head or part of a body.
         self._head_bytes = 0
         self._in_head = True
         self._expects_continue = False
@@ -106,8 +108,7 @@
         self._progress_at = self._loop.time()
         if self._request_began_at is None:
             self._request_began_at = self._progress_at
-        if self._in_head:
-            self._head_bytes += len(data)
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -115,11 +116,8 @@
             return
         if self._ignores_input:
             return
-        limits = self._handler.limits
-        if self._in_head and self._head_bytes > limits.max_head_bytes:
+        if self._head_bytes > self._handler.limits.max_head_bytes:
             self._reject(HEAD_TOO_LARGE)
-        elif self._body_bytes > limits.max_body_bytes:
-            self._reject(BODY_TOO_LARGE)
         elif (
             len(self._pipeline) >= MAX_PIPELINED_REQUESTS
             and not self._is_paused
@@ -132,8 +130,7 @@
         self._url = b""
         self._headers = []
         self._hosts = []
-        self._body_parts = []
-        self._body_bytes = 0
+        self._body.clear()
         self._in_head = True
         self._expects_continue = False
 
@@ -170,13 +167,17 @@
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body."""
+        self._head_bytes = 0
         if self._ignores_input:
             return
-        self._body_bytes += len(body)
-        missing_bytes = self._body_bytes - self._reserved_bytes
+        body_bytes = len(self._body) + len(body)
+        if body_bytes > self._handler.limits.max_body_bytes:
+            self._reject(BODY_TOO_LARGE)
+            return
+        missing_bytes = body_bytes - self._reserved_bytes
         if missing_bytes > 0 and not self._reserve(missing_bytes):
             return
-        self._body_parts.append(body)
+        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Queues a complete request."""
@@ -192,7 +193,7 @@
             self._url,
             host or b"",
             self._headers,
-            b"".join(self._body_parts),
+            self._body.take(),
             self._loop.time(),
         )
         keeps_alive = self._parser.should_keep_alive()
@@ -203,7 +204,6 @@
         self._in_head = True
         self._head_bytes = 0
         self._request_began_at = None
-        self._body_parts = []
         self._ignores_input = not keeps_alive
         self._start()
 
@@ -319,7 +319,7 @@
             return True
         refusal = self._handler.refuse_body(host, self._url)
         self._release_reserved()
-        self._body_parts = []
+        self._body.clear()
         self._expects_continue = False
         self._ignores_input = True
         if len(self._pipeline):
--- a/medlardoor/mesh/upstream_connection.py
+++ b/medlardoor/mesh/upstream_connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from medlardoor.admission import body_buffer
 from medlardoor.admission import buffers as buffers_module
 from medlardoor.mesh import http_messages
 from medlardoor.mesh import settings as settings_module
@@ -116,10 +117,10 @@
         self._attempt_id = b""
         self._has_no_body = False
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        # Bytes of the body, which count towards the buffer budget.
-        self._body_bytes = 0
-        # Bytes received since the last complete head.
+        # Its bytes count towards the buffer budget.
+        self._body = body_buffer.BodyBuffer()
+        # Bytes of heads, trailers and chunk extensions, which the parser
+        # collects, since the last complete head or part of a body.
         self._head_bytes = 0
         self._interim_responses = 0
         self._is_in_head = True
@@ -203,8 +204,7 @@
             # Data without a request in progress belongs to no exchange.
             self.abort()
             return
-        if self._is_in_head:
-            self._head_bytes += len(data)
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -216,10 +216,7 @@
             # Reported only after all data is parsed: surplus bytes after the
             # response must prevent the reuse of the connection.
             self._report()
-        elif (
-            self._is_in_head
-            and self._head_bytes > self._settings.max_head_bytes
-        ):
+        elif self._head_bytes > self._settings.max_head_bytes:
             self._abort_exchange(BreakReason.HEAD_TOO_LONG)
 
     def eof_received(self) -> bool:
@@ -277,14 +274,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body within the limits."""
+        self._head_bytes = 0
         if self._events is None:
             return
-        if self._body_bytes + len(body) > self._settings.max_answer_bytes:
+        if len(self._body) + len(body) > self._settings.max_answer_bytes:
             self._abort_exchange(BreakReason.ANSWER_TOO_LONG)
         elif not self._buffers.try_reserve_response(len(body)):
             self._abort_exchange(BreakReason.BUFFERS_FULL)
         else:
-            self._body_bytes += len(body)
             self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -298,11 +295,11 @@
         if self._events is None or self._response is not None:
             self._must_close = True
             return
+        self._buffers.release(len(self._body))
         response = UpstreamResponse(
-            self._parser.get_status_code(), self._headers, b"".join(self._body)
+            self._parser.get_status_code(), self._headers, self._body.take()
         )
         self._headers = []
-        self._drop_body()
         response_attempt_id = response.header(self._attempt_header)
         if response_attempt_id != self._attempt_id:
             if response_attempt_id is None and self._requests_sent == 1:
@@ -329,9 +326,8 @@
         events.response_received(self, response)
 
     def _drop_body(self) -> None:
-        self._buffers.release(self._body_bytes)
-        self._body_bytes = 0
-        self._body = []
+        self._buffers.release(len(self._body))
+        self._body.clear()
 
     def _read_keep_alive(self, response: UpstreamResponse) -> None:
         value = response.header(b"keep-alive")
--- a/medlardoor/node/transport/client_connection.py
+++ b/medlardoor/node/transport/client_connection.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from medlardoor.admission import body_buffer
 from medlardoor.calls import exchange
 from medlardoor.node.transport import transport
 
@@ -42,8 +43,8 @@
     def _reset(self, method: str) -> None:
         """Resets the state for an exchange with the given HTTP method."""
         self._method = method
-        self._chunks: list[bytes] = []
-        self._buffered_bytes = self._head_bytes = self.status = 0
+        self._body = body_buffer.BodyBuffer()
+        self._head_bytes = self.status = 0
         self.headers: exchange.Headers = []
         self._is_head_complete = self._is_complete = self._ends_at_close = False
         self._can_keep_alive = self._is_request_sent = False
@@ -71,7 +72,7 @@
         """Marks the connection as idle from now on."""
         self._idle_since = self._loop.time()
         self._parser = None
-        self._chunks = []
+        self._body.clear()
         self._resume_reading()
 
     def abort(self) -> None:
@@ -113,17 +114,15 @@
         Raises:
             exchange.TruncatedAnswer: If the body ended early.
         """
-        while not self._chunks:
+        while not len(self._body):
             if self._is_complete:
                 return b""
             if self._error is not None:
                 raise exchange.TruncatedAnswer(self._error)
             await self._wait()
-        chunks = self._chunks
-        self._chunks = []
-        self._buffered_bytes = 0
+        part = self._body.take()
         self._resume_reading()
-        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+        return part
 
     async def _send_body(
         self, head: bytes, request: transport.OutgoingRequest
@@ -197,20 +196,16 @@
         if self._parser is None or self._is_complete:
             self._fail("UnexpectedData")
             return
-        if not self._is_head_complete:
-            self._head_bytes += len(data)
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except _PARSER_ERRORS as error:
             self._fail(type(error).__name__)
             return
-        if not self._is_head_complete and self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > MAX_HEAD_BYTES and not self._is_complete:
             self._fail("OversizedHead")
             return
-        if (
-            self._buffered_bytes > MAX_BUFFERED_BYTES
-            and not self._is_read_paused
-        ):
+        if len(self._body) > MAX_BUFFERED_BYTES and not self._is_read_paused:
             self._is_read_paused = True
             self._stream.pause_reading()
         self._wake()
@@ -259,6 +254,7 @@
             return
         self.status = status
         self._is_head_complete = True
+        self._head_bytes = 0
         # These responses have no body, but the parser would wait for the one
         # that the head describes.
         if self._method == "HEAD" or status in STATUSES_WITHOUT_BODY:
@@ -272,8 +268,9 @@
         if self._is_complete:
             self._error = "UnexpectedData"
             return
-        self._chunks.append(body)
-        self._buffered_bytes += len(body)
+        # Trailers and chunk extensions count like heads.
+        self._head_bytes = 0
+        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Completes the response unless it is an interim one."""
--- a/medlardoor/node/transport/tests/test_transport.py
+++ b/medlardoor/node/transport/tests/test_transport.py
@@ -104,6 +104,16 @@
         check_responses(make_client, parts, None)
 
 
+@ON_BOTH_TRANSPORTS
+def test_trailer_without_end(make_client):
+    """An endless trailer must not fill the memory of the node."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    parts = [head + b"5\r\nhello\r\n", b"0\r\nX-Trailer: "]
+    parts += [b"a" * 50_000] * 10
+    with pytest.raises(exchange.TruncatedAnswer):
+        check_responses(make_client, parts, None)
+
+
 @ON_BOTH_TRANSPORTS
 def test_response_until_close(make_client):
     """A body that ends with the connection must be read as complete."""
