Answer requests that wait for a token when the last limit is lifted

Cause: the periodic work of lending returned at once when no team had a limit. It is also what ends the wait of requests, after the timeout or once their team has no limit. The requests stayed in progress as well, so a planned stop took all of its grace time.

The wait is now ended in each tick, with or without limits. When a document lifts the limit of a team, its requests no longer wait for an answer of the lender either: they are admitted in the next tick. Tokens to be returned for such a team are dropped, so they cannot add to a limit that is set later.

The new test failed for both kinds of wait (no lender, silent lender) before the change. The other periodic functions were read for early returns of this kind; there is none.

--- a/medlardoor/mesh/lending.py
+++ b/medlardoor/mesh/lending.py
@@ -97,14 +97,15 @@
 
     def give_back(self, team: keys.Team) -> None:
         """Returns a token; see `TeamLimiter`."""
-        self._returned[team.name] += 1
+        if team.name in self._teams:
+            self._returned[team.name] += 1
 
     def tick(self) -> None:
         """Performs periodic work; must be called several times a second."""
-        if not self._teams:
-            return
         now = clock.now()
-        self._pledges.tick(now)
+        if self._teams:
+            self._pledges.tick(now)
+        # Requests may still wait after the last limit has been lifted.
         self._fail_overdue(now)
         waiting, self._waiting = self._waiting, []
         for pending in waiting:
@@ -176,8 +177,22 @@
             self._teams_by_shard[self._shard(team.name)].append(team)
         self._lender.retain(self._teams)
         self._stock.clear()
+        self._release_unlimited()
         self._roster.keep_lenders(self._settings if self._teams else None)
 
+    def _release_unlimited(self) -> None:
+        """Ends the exchange about teams whose limits have been lifted.
+
+        Their requests are admitted in the next tick. A lender may never answer
+        them, since it may have been stopped or killed.
+        """
+        for request_id, pending in list(self._pending.items()):
+            if pending.team.name not in self._teams:
+                self._waiting.append(self._pending.pop(request_id))
+        for name in list(self._returned):
+            if name not in self._teams:
+                del self._returned[name]
+
     def _shard(self, team: str) -> int:
         return sharding.shard_of(team, self._settings.shards)
 
--- a/medlardoor/mesh/tests/test_lending.py
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -264,3 +264,42 @@
             lambda: other.node._fleet.roster.open_link(name) not in (None, link)
         )
         await _wait_until_lent(group)
+
+
+@pytest.mark.parametrize("has_lender", [False, True])
+async def test_request_without_a_token_is_served_when_the_limit_is_lifted(
+    monkeypatch, has_lender
+):
+    """Waiting requests were never answered after the last limit was lifted.
+
+    They wait for a lender, or for the answer of one that is lost.
+    """
+    patient = dataclasses.replace(LIMITS, request_timeout_s=30.0)
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=patient
+    ) as group:
+        await _wait_until_lent(group)
+        shard = sharding.shard_of("t1", LIMITS.shards)
+        (name,) = sharding.rank_lenders(shard, group.members, 1)
+        member = next(m for n, m in group.members.items() if n != name)
+        lending = member.node._lending
+        if has_lender:
+            lender = group.members[name].node._lending
+            monkeypatch.setattr(lender, "_on_token_request", lambda *a: None)
+        else:
+            monkeypatch.setattr(
+                lending._pledges, "lender_of", lambda shard: None
+            )
+        responses = []
+
+        async def call():
+            responses.append(await member.call("/read/1", lines=KEY_LINE))
+
+        group.tasks.start_soon(call)
+        await group_module.wait_until(
+            lambda: lending._pending if has_lender else lending._waiting
+        )
+        group.publish(*_document(0, 0))
+        await group_module.wait_until(lambda: responses, timeout_s=1.0)
+        assert responses[0].status == 200
+        assert not member.node._dispatcher.in_progress
