Check whether the upstream runs when a connection breaks

Cause: a crash is attributed to the requests whose connections broke up to 1 s before it is noticed. It was noticed by a refused connection of another request or by the announcement of the next start. In a quiet hour neither comes within that second. Ruled out: the quarantine itself, which acts on the third crash in ten minutes as it should (with 40 orders a second it does).

When the upstream closes the connection of a request without a response and no other connection or exchange to it is open, the node now opens one, 20 and 300 ms later. A refusal is a crash; otherwise the connection serves the next request.

test_crash_is_noticed_without_other_requests got 502 in place of 503 before the change; test_lost_response_is_no_crash guards against blame for lost responses.

--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -12,6 +12,7 @@
 from medlardoor.membership import announcements
 from medlardoor.mesh import (
     chain_bounds,
+    crash_probe,
     crashes,
     http_messages,
     local_run,
@@ -27,7 +28,6 @@
 
 _LOG = logbook.Logger("upstream")
 
-
 # While the upstream is down, at most one request per interval is sent to it,
 # to detect whether it accepts connections again. In seconds.
 DOWN_PROBE_INTERVAL_S = 0.3
@@ -86,6 +86,11 @@
             settings.headers.attempt_id.lower(),
             buffers,
         )
+        self._crash_probe = crash_probe.CrashProbe(
+            self._pool,
+            lambda: register.is_usable and not self._in_flight,
+            self.connect_failed,
+        )
         self._tasks: set[asyncio.Task] = set()
         self._started_attempts: dict[bytes, None] = {}
         self._in_flight: dict[bytes, local_run.LocalRun] = {}
@@ -318,6 +323,7 @@
     ) -> None:
         """Counts and logs an exchange that ended without a response."""
         self._breaks[reason] += 1
+        self._crash_probe.exchange_broken(reason)
         logs.log_request(
             _LOG,
             logbook.WARNING,
--- /dev/null
+++ b/medlardoor/mesh/tests/test_quiet_crash.py
@@ -0,0 +1,89 @@
+"""Tests of crashes of upstreams while there is little traffic."""
+
+import anyio
+import pytest
+
+from medlardoor.mesh import crashes
+from medlardoor.mesh.tests import group as group_module
+
+pytestmark = pytest.mark.anyio
+
+CRASHING_TARGET = b"/order/crash"
+
+
+class _CrashingUpstream:
+    """Upstream of a member that a request crashes.
+
+    Args:
+        member: The member.
+    """
+
+    def __init__(self, member):
+        self._member = member
+        self._handle = member.upstream.handle
+        self.starts = 1
+        self.crashes = 0
+        member.upstream.handle = self._crash_or_handle
+
+    async def restart(self):
+        """Starts the upstream again, later than crashes are attributed."""
+        member = self._member
+        await anyio.sleep(crashes.CRASH_WINDOW_S + 0.2)
+        self.starts += 1
+        member.upstream.upstream_id = f"i-o1-{self.starts}"
+        await member.upstream.listen(member.host, member.settings.upstream.port)
+        member.send_heartbeat(
+            upstream_id=member.upstream.upstream_id, born_ms=1_000 + self.starts
+        )
+
+    def _crash_or_handle(self, request, reply):
+        if request.target != CRASHING_TARGET:
+            return self._handle(request, reply)
+        self.crashes += 1
+        self._member.upstream.crash()
+        return None
+
+
+async def test_crash_is_noticed_without_other_requests(group):
+    """A crashing request came again and again while there was no other."""
+    member = group.members["o1"]
+    upstream = _CrashingUpstream(member)
+    fleet = group.members["s1"].node._fleet
+    for number in range(3):
+        response = await group.members["s1"].call(
+            CRASHING_TARGET.decode(), f"crash-{number}", method="POST"
+        )
+        assert response.status == 502
+        await upstream.restart()
+        await group_module.wait_until(lambda: fleet.candidates("orders"))
+    for name, other in group.members.items():
+        response = await other.call(
+            CRASHING_TARGET.decode(), f"last-{name}", method="POST"
+        )
+        assert response.status == 503
+    assert upstream.crashes == 3
+    response = await member.call("/order/1", method="POST")
+    assert response.status == 200
+
+
+async def test_lost_response_is_no_crash(group):
+    """A request is not blamed for a connection that alone was closed."""
+    member = group.members["o1"]
+    upstream = member.upstream
+    handle = upstream.handle
+
+    def close_or_handle(request, reply):
+        if request.target != CRASHING_TARGET:
+            return handle(request, reply)
+        for connection in list(upstream.connections):
+            connection._transport.abort()
+        return None
+
+    upstream.handle = close_or_handle
+    for number in range(4):
+        response = await member.call(
+            CRASHING_TARGET.decode(), f"lost-{number}", method="POST"
+        )
+        assert response.status == 502
+        await anyio.sleep(0.4)
+    assert not member.node._crashes._topic.suspects
--- a/medlardoor/mesh/upstream_connection.py
+++ b/medlardoor/mesh/upstream_connection.py
@@ -136,6 +136,11 @@
         """Number of requests sent on the connection."""
         return self._requests_sent
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has closed the connection."""
+        return self._transport is not None
+
     def is_usable(self, max_idle_s: float, now: float) -> bool:
         """Whether the next request can be sent on the connection.
 
--- a/medlardoor/mesh/upstream_pool.py
+++ b/medlardoor/mesh/upstream_pool.py
@@ -41,6 +41,11 @@
         """Number of connection attempts since the start."""
         return self._opened
 
+    @property
+    def has_open(self) -> bool:
+        """Whether an idle connection is open, so that the upstream runs."""
+        return any(connection.is_open for connection in self._idle)
+
     def acquire(
         self, attempt_id: bytes, idempotent: bool, now: float
     ) -> upstream_connection.UpstreamConnection | None:
