Soak: shed requests with late copies of answers, nodes of another build

Orders may go to one upstream only in these runs: an upstream that has shed one then gets it again, which is where a late copy of the rejection matters.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 
-.PHONY: setup test lint format demo scenarios soak bench fuzz thrift
+.PHONY: setup test lint format demo scenarios soak soak-fresh bench fuzz thrift
 
 setup: $(VENV)/.installed
 
@@ -28,8 +28,14 @@
 scenarios: setup
 	$(PYTHON) -m medlardoor.scenarios.runner scenarios
 
+# Fixed seeds: a finding belongs to the code, not to the draw.
 soak: setup
-	$(PYTHON) -m medlardoor.cli.soak --runs 2 --minutes 0.6
+	$(PYTHON) -m medlardoor.cli.soak --seed 45001 --runs 2 --minutes 0.6
+
+# Fresh seeds, started by hand; RUNS and MINUTES set the length.
+soak-fresh: setup
+	$(PYTHON) -m medlardoor.cli.soak --runs $(or $(RUNS),50) \
+	  --minutes $(or $(MINUTES),0.6)
 
 # Generated input for each border, new with each run.
 fuzz: setup
--- a/medlardoor/cli/soak.py
+++ b/medlardoor/cli/soak.py
@@ -33,6 +33,12 @@
         helpers.option(
             "minutes", None, "Length of a run.", flag=False, default="1"
         ),
+        helpers.option(
+            "build",
+            None,
+            "Folder with the sources of the nodes, such as an earlier build.",
+            flag=False,
+        ),
     ]
 
     def handle(self) -> int:
@@ -50,9 +56,16 @@
     def _run(self, seed: int) -> bool:
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         minutes = float(self.option("minutes"))
+        build = self.option("build")
         report = anyio.run(
             functools.partial(
-                run_module.run, seed, minutes, directory, has_returns=True
+                run_module.run,
+                seed,
+                minutes,
+                directory,
+                has_returns=True,
+                has_late_copies=True,
+                build=None if build is None else pathlib.Path(build).resolve(),
             )
         )
         self.line(f"seed {seed}: {report.outcomes}")
--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -29,6 +29,14 @@
 MAX_LOST_CHANGES = 4
 WRITTEN_AGAIN_S = 1.5
 
+# Longest pause before a spell of shed requests and late copies, and its longest
+# duration, in seconds. All upstreams of a service shed a share of their
+# requests; two of them repeat a share of their answers.
+SPELL_PAUSE_S = 4.0
+SPELL_S = 6.0
+SPELL_SHED = (0.3, 0.7)
+SPELL_LATE = (0.05, 0.5)
+
 # What an upstream serves on after its leaving was acknowledged, in seconds.
 DRAIN_S = 2.5
 
@@ -156,6 +164,37 @@
             self._active -= 1
             self._last_end = ledger.now_s
 
+    async def repeat_answers(
+        self, until_s: float, generator: random.Random
+    ) -> None:
+        """Lets the upstreams of a service shed, and some repeat answers late.
+
+        Args:
+            until_s: End, in seconds of the ledger's time.
+            generator: Source of the draws of the spells.
+        """
+        ledger = self._world.ledger
+        while ledger.now_s < until_s:
+            await anyio.sleep(generator.uniform(0.0, SPELL_PAUSE_S))
+            service = generator.choice(world_module.SERVICES)
+            self.log.append(f"{ledger.now_s:7.2f} s repeat_answers {service}")
+            affected = [
+                member.upstream
+                for member in self._world.members
+                if member.upstream.service == service
+            ]
+            self._active += 1
+            shed = generator.uniform(*SPELL_SHED)
+            for upstream in affected:
+                upstream.fault.shed = shed
+            for upstream in generator.sample(affected, 2):
+                upstream.fault.late = generator.uniform(*SPELL_LATE)
+            await anyio.sleep(generator.uniform(SHORTEST_S, SPELL_S))
+            for upstream in affected:
+                upstream.fault.shed = upstream.fault.late = 0.0
+            self._active -= 1
+            self._last_end = ledger.now_s
+
     async def watch_own_stalls(self) -> None:
         """Notes when this process itself stood still, for ever.
 
--- a/medlardoor/soak/run.py
+++ b/medlardoor/soak/run.py
@@ -48,6 +48,8 @@
     directory: pathlib.Path,
     *,
     has_returns: bool = False,
+    has_late_copies: bool = False,
+    build: pathlib.Path | None = None,
 ) -> Report:
     """Runs the system with faults.
 
@@ -56,6 +58,8 @@
         minutes: How long faults are injected.
         directory: Where settings and logs are written.
         has_returns: Whether the store returns from older copies.
+        has_late_copies: Whether upstreams shed and repeat answers late.
+        build: Sources of the nodes; None for those of the soak.
     """
     generator = random.Random(seed)
     window_s = evidence.LIMIT_WINDOW_S
@@ -67,8 +71,15 @@
     )
     series = None
     made = world.World(
-        directory, ledger, generator, lambda member: series.is_calm(member)
+        directory,
+        ledger,
+        generator,
+        lambda member: series.is_calm(member),
+        build,
     )
+    if has_late_copies:
+        # An upstream that has shed a request gets it again.
+        made.unsafe_attempts = 1
     series = faults.FaultSeries(made, generator)
     async with anyio.create_task_group() as group:
         try:
@@ -78,6 +89,9 @@
             if has_returns:
                 returns = random.Random(~seed)
                 group.start_soon(series.return_store, until_s, returns)
+            if has_late_copies:
+                copies = random.Random(f"late copies {seed}")
+                group.start_soon(series.repeat_answers, until_s, copies)
             await series.run(until_s)
             await anyio.sleep(RECOVER_S)
             for _ in range(MAX_OBSERVATIONS):
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -40,6 +40,8 @@
         cut: Share of answers that end early.
         extra: Share of answers that are followed by a second one.
         lose: Share of requests that run and whose connection is reset.
+        late: Share of answers, also of rejections, of which a copy arrives
+            where the next answer on the connection is expected.
     """
 
     slow: float = 1.0
@@ -48,6 +50,7 @@
     cut: float = 0.0
     extra: float = 0.0
     lose: float = 0.0
+    late: float = 0.0
 
 
 class SoakUpstream:
@@ -153,6 +156,7 @@
             reply: To be called once.
             connection: Where it has come from.
         """
+        connection.send_late_copy()
         attempt = request.header(names.HEADERS.attempt_id.lower()).decode()
         wanted = request.header(names.HEADERS.expected_upstream.lower())
         if wanted != self.upstream_id.encode():
@@ -168,7 +172,7 @@
             lines = self._own_lines(attempt) + b"%b: 1\r\n" % (
                 names.HEADERS.not_run
             )
-            reply(handlers.Response(503, lines))
+            self._reply(reply, handlers.Response(503, lines), connection)
             return None
         deadline = request.header(names.HEADERS.deadline_ms.lower())
         self._ledger.ran(
@@ -204,10 +208,23 @@
         if draw() < fault.cut:
             connection.send_cut(lines, body)
             return
-        running.reply(handlers.Response(status, lines, body))
+        response = handlers.Response(status, lines, body)
+        self._reply(running.reply, response, connection)
         if draw() < fault.extra:
             connection.send_extra(lines, body)
 
+    def _reply(
+        self,
+        reply: handlers.Reply,
+        response: handlers.Response,
+        connection: "_UpstreamSocket",
+    ) -> None:
+        """Sends an answer; may keep a copy of it."""
+        late = self.fault.late
+        if late and self._generator.random() < late:
+            connection.late_copy = response
+        reply(response)
+
     def forget(self, running: "_Running") -> None:
         """Ends a request whose connection was closed."""
         self._running.discard(running)
@@ -306,12 +323,23 @@
         connections: set[server_connection.ServerConnection],
     ):
         super().__init__(_SocketHandler(upstream, self), connections)
+        # Answer that is repeated where the next one is expected.
+        self.late_copy: handlers.Response | None = None
 
     def reset(self) -> None:
         """Ends the connection without an answer."""
         if self._transport is not None:
             self._transport.abort()
 
+    def send_late_copy(self) -> None:
+        """Repeats an earlier answer, if a copy of one was kept."""
+        copy, self.late_copy = self.late_copy, None
+        if copy is not None and self._transport is not None:
+            self._transport.write(
+                b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n%b"
+                % (copy.status, copy.headers, len(copy.body), copy.body)
+            )
+
     def send_cut(self, lines: bytes, body: bytes) -> None:
         """Sends a part of an answer and ends the connection."""
         if self._transport is None:
--- a/medlardoor/soak/world.py
+++ b/medlardoor/soak/world.py
@@ -20,6 +20,7 @@
 SERVICES = ("orders", "stock")
 NODES_EACH = 3
 RATE = 12.0
+MAX_ATTEMPTS = 2
 
 KINDS = (
     callers.CallKind("order", "orders", True, 1.0),
@@ -123,6 +124,11 @@
         ledger: What the run has seen.
         generator: Source of all random draws.
         is_calm: Whether nothing but planned work disturbs the run.
+        build: Sources of the nodes; None for those of the soak.
+
+    Attributes:
+        unsafe_attempts: Number of upstreams to which the document lets an
+            unsafe request go.
     """
 
     def __init__(
@@ -131,16 +137,23 @@
         ledger: evidence.Ledger,
         generator: random.Random,
         is_calm,
+        build: pathlib.Path | None = None,
     ):
         self._directory = directory
         self._generator = generator
         self._is_calm = is_calm
+        self._environment = {"PYTHONFAULTHANDLER": "1"}
+        if build is not None:
+            self._environment["PYTHONPATH"] = str(build)
+            # The working directory would come first otherwise.
+            self._environment["PYTHONSAFEPATH"] = "1"
         # Runs beside each other use other addresses of the loopback range.
         first, second = generator.randrange(1, 250), generator.randrange(1, 250)
         self._network = f"127.{first}.{second}"
         self._store_connections: set[server_connection.ServerConnection] = set()
         self._version = 0
         self._document: dict[str, typing.Any] = {}
+        self.unsafe_attempts = MAX_ATTEMPTS
         self.ledger = ledger
         self.store = object_store.StandinStore()
         self.members: list[Member] = []
@@ -191,7 +204,9 @@
                 "action": {
                     "service": changes.get(kind.name, kind.service),
                     "timeout": "2000ms",
-                    "maxAttempts": 2,
+                    "maxAttempts": self.unsafe_attempts
+                    if kind.is_unsafe
+                    else MAX_ATTEMPTS,
                 },
             }
             for kind in KINDS
@@ -228,8 +243,8 @@
             ["-m", "medlardoor.platform.main"],
             self._directory,
             {
+                **self._environment,
                 names.SETTINGS_VARIABLE: str(self._settings_path(member)),
-                "PYTHONFAULTHANDLER": "1",
             },
             logs_output=True,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,3 +36,12 @@
     )
     assert report.findings == (), "\n".join(report.faults)
     assert any("return_store" in line for line in report.faults)
+
+
+def test_rejected_orders_run_once_when_answers_are_repeated(tmp_path):
+    """Orders ran twice: late copies of rejections passed for new answers."""
+    report = anyio.run(
+        functools.partial(run.run, 7, 0.4, tmp_path, has_late_copies=True)
+    )
+    assert report.findings == (), "\n".join(report.faults)
+    assert any("repeat_answers" in line for line in report.faults)
