Parse lists of the store object by object

Cause: an answer of the store was decoded as a whole. A string with an unpaired surrogate or a value nested 250 deep in one object made the list of instances, or the events of a watch, unreadable, and the call was repeated for ever. An own entry in that state could not be replaced either, since its version could not be read. Invalid objects that could be decoded were left out without a log line, and a part of a list with none but invalid objects ended the list.

An answer that cannot be decoded is now split at brackets and strings, in a thread, and each object is decoded on its own, up to a depth of 64. Unreadable ones are left out and logged once with name and reason, again when they change.

The fuzz test of answers calls the new parser, with the same inputs as before. Not run: the restart of all processes by script.

--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -8,12 +8,11 @@
 import anyio
 import httpcore
 import logbook
-import pydantic
 import result
 
 from medlardoor import errors, logs
 from medlardoor.mesh import settings as mesh_settings
-from medlardoor.platform import names
+from medlardoor.platform import names, objects
 from medlardoor.store import calls, client, versions
 
 __all__ = ["PlatformStore"]
@@ -43,39 +42,6 @@
 # At most `versions.MAX_ERA`.
 _ERA = re.compile(rb"[0-9]{1,6}")
 
-
-_Revision = typing.Annotated[
-    int, pydantic.Field(ge=0, le=versions.MAX_REVISION)
-]
-
-
-class _Metadata(pydantic.BaseModel):
-    name: str
-    revision: _Revision
-
-
-class _Object(pydantic.BaseModel):
-    metadata: _Metadata
-    spec: typing.Any = None
-
-
-class _Event(pydantic.BaseModel):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(pydantic.BaseModel):
-    events: tuple[_Event, ...] = ()
-    currentRev: _Revision  # noqa: N815
-
-
-class _Page(pydantic.BaseModel):
-    # Items are checked one by one: another writer may have spoilt some.
-    items: tuple[typing.Any, ...] = ()
-    hasMore: bool = False  # noqa: N815
-    currentRev: _Revision = 0  # noqa: N815
-
-
 Read = result.Result[client.StoredObject | None, errors.StoreUnavailable]
 
 
@@ -92,6 +58,7 @@
         self._base = f"http://{address.host}:{address.port}"
         self._base += names.OBJECTS_PATH
         self._caller = calls.StoreCaller(CALL_TIMEOUT_S)
+        self._objects = objects.ObjectParser()
         self._era: int | None = None
         # Version up to which the events of a watched object are known.
         self._seen: dict[str, int] = {}
@@ -158,7 +125,7 @@
             return answer
         if answer.ok_value.status == _NOT_FOUND:
             return result.Ok(None)
-        parsed = self._parse(key, answer.ok_value, _Object)
+        parsed = self._parse_object(key, answer.ok_value)
         return parsed.map(lambda found: self._stored(key, found))
 
     async def update(
@@ -188,7 +155,7 @@
             return answer
         if answer.ok_value.status in (_CONFLICT, _NOT_FOUND):
             return result.Err(errors.StoreConflict(key, expected_version))
-        parsed = self._parse(key, answer.ok_value, _Object)
+        parsed = self._parse_object(key, answer.ok_value)
         return parsed.map(lambda found: self._version(found.metadata.revision))
 
     async def delete(
@@ -247,8 +214,11 @@
         is_outdated = not self._is_of_known_era(after)
         if answer.ok_value.status == _GONE or is_outdated:
             return await self._read_with_version(key)
-        parsed = self._parse(key, answer.ok_value, _Events)
-        return parsed.map(
+        if answer.ok_value.status != _OK:
+            return result.Err(_unexpected(key, answer.ok_value.status))
+        text = answer.ok_value.read()
+        parsed = await self._objects.parse_events(key, text)
+        return parsed.map_err(lambda error: calls.failed(key, error)).map(
             lambda events: (
                 self._latest(key, name, events),
                 max(after, self._version(events.currentRev)),
@@ -267,11 +237,11 @@
         )
         if answer.is_err():
             return answer
-        page = self._parse(key, answer.ok_value, _Page)
+        page = await self._parse_page(key, answer.ok_value)
         if page.is_err():
             return page
         found = None
-        for item in _valid_objects(page.ok_value.items):
+        for item in page.ok_value.items:
             if item.metadata.name == name:
                 found = self._stored(key, item)
         return result.Ok((found, self._version(page.ok_value.currentRev)))
@@ -300,28 +270,27 @@
                 return answer
             if answer.ok_value.status == _NOT_FOUND:
                 break
-            page = self._parse(prefix, answer.ok_value, _Page)
+            page = await self._parse_page(prefix, answer.ok_value)
             if page.is_err():
                 return page
-            objects = _valid_objects(page.ok_value.items)
             found += [
                 self._stored(f"{kind}/{each.metadata.name}", each)
-                for each in objects
+                for each in page.ok_value.items
             ]
-            if not page.ok_value.hasMore or not objects:
+            after = page.ok_value.last_name
+            if not page.ok_value.hasMore or not after:
                 break
-            after = objects[-1].metadata.name
         wanted = f"{kind}/{name_prefix}"
         return result.Ok(tuple(o for o in found if o.key.startswith(wanted)))
 
-    def _stored(self, key: str, found: _Object) -> client.StoredObject:
+    def _stored(self, key: str, found: objects.Object) -> client.StoredObject:
         value = json.dumps(found.spec).encode()
         return client.StoredObject(
             key, value, self._version(found.metadata.revision)
         )
 
     def _latest(
-        self, key: str, name: str, found: _Events
+        self, key: str, name: str, found: objects.Events
     ) -> client.StoredObject | None:
         latest = None
         for event in found.events:
@@ -329,26 +298,21 @@
                 latest = self._stored(key, event.object)
         return latest
 
-    def _parse(
-        self, key: str, response, model: type[pydantic.BaseModel]
-    ) -> result.Result:
+    def _parse_object(
+        self, key: str, response: httpcore.Response
+    ) -> result.Result[objects.Object, errors.StoreUnavailable]:
         if response.status not in (_OK, _CREATED):
             return result.Err(_unexpected(key, response.status))
-        try:
-            return result.Ok(model.model_validate_json(response.read()))
-        except pydantic.ValidationError as error:
-            return result.Err(calls.failed(key, error))
-
-
-def _valid_objects(items: tuple[typing.Any, ...]) -> list[_Object]:
-    objects = []
-    for item in items:
-        try:
-            objects.append(_Object.model_validate(item))
-        except pydantic.ValidationError:
-            # Not one of ours; its name shows that it names no instance.
-            continue
-    return objects
+        parsed = self._objects.parse_object(response.read())
+        return parsed.map_err(lambda error: calls.failed(key, error))
+
+    async def _parse_page(
+        self, key: str, response: httpcore.Response
+    ) -> result.Result[objects.Page, errors.StoreUnavailable]:
+        if response.status != _OK:
+            return result.Err(_unexpected(key, response.status))
+        parsed = await self._objects.parse_page(key, response.read())
+        return parsed.map_err(lambda error: calls.failed(key, error))
 
 
 def _unexpected(key: str, status: int) -> errors.StoreUnavailable:
--- a/medlardoor/platform/tests/test_fuzz.py
+++ b/medlardoor/platform/tests/test_fuzz.py
@@ -8,11 +8,9 @@
 
 from medlardoor.membership import announcements
 from medlardoor.mesh import handlers
-from medlardoor.mesh import settings as mesh_settings
 from medlardoor.mesh.tests import fuzzing
-from medlardoor.platform import documents, heartbeats, settings, store
+from medlardoor.platform import documents, heartbeats, objects, settings
 from medlardoor.platform.tests import test_documents, test_settings
-from medlardoor.store import calls
 
 JSON = strategies.recursive(
     strategies.none()
@@ -41,12 +39,14 @@
 def test_answers_of_the_store(value, changes):
     """An answer of the store raises in the task that reads it."""
     data = fuzzing.mutate(json.dumps(value).encode(), changes)
-    client = store.PlatformStore(mesh_settings.Address("127.0.0.1", 1))
-    for model in (store._Object, store._Events, store._Page):
-        response = calls.httpcore.Response(200, content=data)
-        parsed = client._parse("config/main", response, model)
-        if parsed.is_ok() and model is store._Page:
-            store._valid_objects(parsed.ok_value.items)
+
+    async def parse_all():
+        parser = objects.ObjectParser()
+        parser.parse_object(data)
+        await parser.parse_events("config/main", data)
+        await parser.parse_page("config/main", data)
+
+    asyncio.run(parse_all())
 
 
 @hypothesis.given(changes=fuzzing.mutations)
