Tell a node that starts which requests are quarantined

Cause: a node keeps the quarantine in memory only, and nodes are told of a quarantine once, when it begins.

When a link opens, each side sends the quarantines that it knows, with the time that is left. They arrive before any call on that link. The receiver adds those that it lacks, and none that has ended on it, as it does with those of an object of the platform: otherwise nodes would renew quarantines for ever. A node of an earlier build ignores the new field and quarantines for the full hour.

test_restarted_node_learns_of_quarantines: the request reached an upstream before the change. test_handover_does_not_prolong_quarantine.

Open: suspicions of one or two crashes are still forgotten at a restart.

--- a/medlardoor/mesh/crashes.py
+++ b/medlardoor/mesh/crashes.py
@@ -43,16 +43,14 @@
     Args:
         quarantine: Decides which requests are suspect or quarantined.
         board: Blackboard; the topic ``quarantine`` is read.
-        publish: Sends a message to all nodes.
+        publish: Sends a frame to all nodes.
     """
 
     def __init__(
         self,
         quarantine: quarantine_module.QuarantineController,
         board: board_module.Blackboard,
-        publish: collections.abc.Callable[
-            [ttypes.CrashReport | ttypes.QuarantineUpdate], None
-        ],
+        publish: collections.abc.Callable[[ttypes.Frame], None],
     ):
         self._quarantine = quarantine
         self._topic = board.quarantine
@@ -118,7 +116,7 @@
         self._quarantine.started(call_id, fingerprint, now)
         update = self._quarantine.finished(call_id, True, now)
         if update is not None:
-            self._publish(update)
+            self._publish(ttypes.Frame(quarantine_update=update))
 
     def upstream_terminated(self, now: float) -> None:
         """Records that the upstream terminated without a planned stop."""
@@ -141,7 +139,21 @@
             _LOG, logbook.WARNING, "upstream_crashed", in_flight=suspect_count
         )
         if report is not None:
-            self._publish(report)
+            self._publish(ttypes.Frame(crash_report=report))
+
+    def make_handover(self, now: float) -> ttypes.Frame | None:
+        """Returns what a node that has just started must know.
+
+        Args:
+            now: Current time, in seconds.
+
+        Returns:
+            The quarantines of the service; None if there are none.
+        """
+        update = self._quarantine.to_update(now)
+        if update is None:
+            return None
+        return ttypes.Frame(quarantine_update=update)
 
     def receive_report(self, report: ttypes.CrashReport, now: float) -> None:
         """Processes a crash report from another node."""
--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -199,6 +199,7 @@
         else:
             self._roster.link_opened(link)
         link.send(ttypes.Frame(status=self._own_status()))
+        self._events.link_opened(link)
 
     def frame_received(self, link: links.Link, frame: ttypes.Frame) -> None:
         """Dispatches a message by its type."""
--- a/medlardoor/mesh/fleet_events.py
+++ b/medlardoor/mesh/fleet_events.py
@@ -27,6 +27,14 @@
     def tick(self) -> None:
         """Called several times a second."""
 
+    @abc.abstractmethod
+    def link_opened(self, link: links.Link) -> None:
+        """Called when a link has opened, before any call is sent on it.
+
+        Args:
+            link: The link. The process at its other end may have just started.
+        """
+
     @abc.abstractmethod
     def link_closed(self, link: links.Link, dialled: str | None) -> None:
         """Called when a link has closed.
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -84,7 +84,9 @@
             quarantine_settings.QuarantineSettings(), board, generator
         )
         self._register = announcements.UpstreamRegister()
-        self._crashes = crashes.CrashTracker(quarantine, board, self._broadcast)
+        self._crashes = crashes.CrashTracker(
+            quarantine, board, lambda frame: self._fleet.broadcast(frame)
+        )
         self._buffers = buffers.BufferBudget(settings.buffer_bytes)
         self._local = local_upstream.LocalUpstream(
             settings,
@@ -348,19 +350,17 @@
             )
             self._fleet.status_changed()
 
-    def _broadcast(
-        self, message: ttypes.CrashReport | ttypes.QuarantineUpdate
-    ) -> None:
-        if isinstance(message, ttypes.CrashReport):
-            self._fleet.broadcast(ttypes.Frame(crash_report=message))
-        else:
-            self._fleet.broadcast(ttypes.Frame(quarantine_update=message))
-
     def tick(self) -> None:
         """Performs periodic work; see `FleetEvents`."""
         self._era.check()
         self._lending.tick()
 
+    def link_opened(self, link: links.Link) -> None:
+        """Tells the other node of quarantines; see `FleetEvents`."""
+        handover = self._crashes.make_handover(self._loop.time())
+        if handover is not None:
+            link.send(handover)
+
     def link_closed(self, link: links.Link, dialled: str | None) -> None:
         """Ends exchanges on a link; see `FleetEvents`."""
         self._lending.link_closed(link, dialled)
--- a/medlardoor/mesh/tests/test_quiet_crash.py
+++ b/medlardoor/mesh/tests/test_quiet_crash.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from medlardoor.mesh import crashes
+from medlardoor.mesh import crashes, runs
 from medlardoor.mesh.tests import group as group_module
 
 pytestmark = pytest.mark.anyio
@@ -87,3 +87,31 @@
         assert response.status == 502
         await anyio.sleep(0.4)
     assert not member.node._crashes._topic.suspects
+
+
+async def test_restarted_node_learns_of_quarantines(group):
+    """A rolling restart let a crashing request reach upstreams again."""
+    member = group.members["o1"]
+    upstream = _CrashingUpstream(member)
+    other = await group.add("o2", "orders")
+    await group.wait_until_settled()
+    tracker = other.node._crashes
+    for number in range(3):
+        tracker.started(number, _crashing_run(), number)
+        tracker.upstream_terminated(float(number))
+    for restarted in (member, other):
+        restarted.scope.cancel()
+        await restarted.done.wait()
+        await restarted.start_node(group.tasks)
+        await group.wait_until_settled()
+    response = await group.members["s1"].call(
+        CRASHING_TARGET.decode(), "after-restart", method="POST"
+    )
+    assert response.status == 503
+    assert upstream.crashes == 0
+
+
+def _crashing_run():
+    return runs.Run(
+        "orders", b"a", b"POST", CRASHING_TARGET, b"", b"", 9e9, 9e9, 0, False
+    )
--- a/medlardoor/quarantine/controller.py
+++ b/medlardoor/quarantine/controller.py
@@ -206,11 +206,44 @@
             return False
         for fingerprint in _valid_fingerprints(update.cleared):
             self._clear_suspicion(fingerprint)
+        if update.remaining_ms is not None:
+            self.expire(now)
+            entries = zip(
+                update.quarantined or [], update.remaining_ms, strict=False
+            )
+            for fingerprint, left_ms in entries:
+                if len(fingerprint) == fingerprints.FINGERPRINT_BYTES:
+                    self._take_over(fingerprint, left_ms / 1_000, now)
+            return True
         for fingerprint in _valid_fingerprints(update.quarantined):
             if fingerprint not in self._topic.quarantined:
                 self._quarantine(fingerprint, self._settings.quarantine_s, now)
         return True
 
+    def to_update(self, now: float) -> ttypes.QuarantineUpdate | None:
+        """Returns all quarantines, for a node that may not know of them.
+
+        Args:
+            now: Local clock, in seconds.
+
+        Returns:
+            The update, with the time that is left of each quarantine; None if
+            there is none.
+        """
+        self.expire(now)
+        # Those that last longest come first if there are too many.
+        ends = sorted(
+            self._topic.quarantined.items(), key=lambda entry: -entry[1]
+        )[:MAX_REPORTED_FINGERPRINTS]
+        if not ends:
+            return None
+        return ttypes.QuarantineUpdate(
+            self._board.service,
+            quarantined=[fingerprint for fingerprint, _ in ends],
+            cleared=[],
+            remaining_ms=[int((end - now) * 1_000) for _, end in ends],
+        )
+
     def expire(self, now: float) -> None:
         """Removes suspicions and quarantines that have ended.
 
@@ -262,19 +295,11 @@
         if parsed.is_err():
             return parsed
         self.expire(now)
-        added = 0
-        for fingerprint_hex, remaining_s in parsed.unwrap().remaining_s.items():
-            fingerprint = bytes.fromhex(fingerprint_hex)
-            is_known = fingerprint in self._topic.quarantined
-            if (
-                is_known
-                or fingerprint in self._renewable_at
-                or remaining_s <= 0
-            ):
-                continue
-            duration_s = min(remaining_s, self._settings.quarantine_s)
-            self._quarantine(fingerprint, duration_s, now)
-            added += 1
+        remaining = parsed.unwrap().remaining_s
+        added = sum(
+            self._take_over(bytes.fromhex(fingerprint_hex), left_s, now)
+            for fingerprint_hex, left_s in remaining.items()
+        )
         return result.Ok(added)
 
     def is_covered_by(self, value: bytes, now: float) -> bool:
@@ -293,6 +318,26 @@
         stored = parsed.unwrap().remaining_s
         return all(f.hex() in stored for f in self._topic.quarantined)
 
+    def _take_over(
+        self, fingerprint: bytes, remaining_s: float, now: float
+    ) -> bool:
+        """Adds a quarantine unless it is known, or has ended on this node.
+
+        Two nodes that tell each other would renew it for ever otherwise.
+
+        Returns:
+            Whether it was added.
+        """
+        if (
+            fingerprint in self._topic.quarantined
+            or fingerprint in self._renewable_at
+            or remaining_s <= 0
+        ):
+            return False
+        duration_s = min(remaining_s, self._settings.quarantine_s)
+        self._quarantine(fingerprint, duration_s, now)
+        return True
+
     def _record_crash_id(self, crash_id: int) -> None:
         self._crash_ids[crash_id] = None
         while len(self._crash_ids) > MAX_CRASH_IDS:
--- a/medlardoor/quarantine/tests/test_controller.py
+++ b/medlardoor/quarantine/tests/test_controller.py
@@ -141,6 +141,26 @@
     assert peer.check(CRASHING, 3_650.0) == controller.Allowed()
 
 
+def test_handover_does_not_prolong_quarantine():
+    """Nodes that tell each other at each start renew quarantines forever."""
+    quarantine, peer = _controller(), _controller("b")
+    assert quarantine.to_update(1_000.0) is None
+    update = ttypes.QuarantineUpdate("order", [CRASHING], [])
+    quarantine.receive_update(update, 1_000.0)
+    handover = quarantine.to_update(2_000.0)
+    # The clock of the peer started at another time.
+    assert peer.receive_update(handover, 50.0)
+    assert isinstance(peer.check(CRASHING, 2_649.0), controller.Quarantined)
+    peer.receive_update(handover, 1_050.0)
+    assert peer.check(CRASHING, 2_651.0) == controller.Allowed()
+    peer.receive_update(handover, 2_651.0)
+    assert peer.check(CRASHING, 2_652.0) == controller.Allowed()
+    # The lists of a malformed message may have different lengths.
+    handover.remaining_ms = [5_000, 1]
+    handover.quarantined = [b"short", CRASHING, CRASHING]
+    assert peer.receive_update(handover, 9_000.0)
+
+
 def test_malformed_objects_are_rejected():
     """A damaged platform object crashes the controller of every node."""
     quarantine = _controller()
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -47,6 +47,7 @@
   1: string service_name,
   2: list<binary> quarantined,
   3: list<binary> cleared,
+  4: list<i32> remaining_ms,   // Of each quarantined one; absent: all of it.
 }
 
 union Message {
