Release the body of a request when it ends

Cause: a run and its ticket referred to each other, and so did a call of a team with a limit and its token. Such a cycle, with the body, lives until Python's garbage collector finds it, which depends on the number of new objects and not on their size. The timer of a call that had fired kept the call as well.

--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -326,9 +326,10 @@
             return
         if self._may_have_run:
             outcome = errors.Outcome.UNKNOWN
+        on_not_run = self.on_not_run
         self._end()
-        if self.on_not_run is not None and outcome is errors.Outcome.NOT_RUN:
-            self.on_not_run()
+        if on_not_run is not None and outcome is errors.Outcome.NOT_RUN:
+            on_not_run()
         now = self._loop.time()
         if self._parent is not None and reason in _OVERLOAD_REASONS:
             # The run that made the call cannot succeed, so the time left until
@@ -347,3 +348,6 @@
         self._shared.in_progress -= 1
         if self._timer is not None:
             self._timer.cancel()
+        # Both refer to this call, and a cycle would keep its body.
+        self._timer = None
+        self.on_not_run = None
--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -71,7 +71,7 @@
         if not self._is_settled:
             self._is_settled = True
             if not self.holds_slot:
-                self._upstream.release_buffers(self)
+                self._upstream.release_body(self)
             result.path_level = self._path_level
             result.made_calls = self._made_calls
             now = asyncio.get_running_loop().time()
@@ -114,7 +114,7 @@
         self._is_settled = True
         if not self.was_sent:
             self._upstream.admission_queue.withdraw(self.ticket)
-            self._upstream.release_buffers(self)
+            self._upstream.release_body(self)
             if self.holds_slot:
                 self._upstream.run_ended(
                     self, is_answered=False, is_broken=False
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -277,10 +277,12 @@
             run.method, run.target, lines, run.body
         )
 
-    def release_buffers(self, handle: local_run.LocalRun) -> None:
-        """Releases the buffer budget used by the body of a run."""
+    def release_body(self, handle: local_run.LocalRun) -> None:
+        """Releases the buffer budget of a run that has ended, and its body."""
         self._buffers.release(handle.buffered_bytes)
         handle.buffered_bytes = 0
+        # Run and ticket refer to each other; a cycle would keep the body.
+        handle.ticket.payload = None
 
     def record_sent(self, handle: local_run.LocalRun) -> None:
         """Records that a request is being sent."""
@@ -315,7 +317,7 @@
         if handle.holds_slot:
             handle.holds_slot = False
             self._admission_queue.end(handle.ticket, now, is_answered)
-        self.release_buffers(handle)
+        self.release_body(handle)
         self.process_queue()
 
     def record_broken(
