Soak: excuse an end by SIGHUP within a second of the start

The check keeps everything else: other ends, other signals, and an end by SIGHUP later than that are findings still. The new test has one case of each.

--- a/medlardoor/soak/tests/test_world.py
+++ b/medlardoor/soak/tests/test_world.py
@@ -64,6 +64,36 @@
         return 0
 
 
+@pytest.mark.parametrize(
+    ("status", "age_s", "findings"),
+    [(-1, 0.4, 0), (-1, 1.2, 1), (-9, 0.4, 1), (1, 0.4, 1)],
+)
+def test_only_an_early_end_by_sighup_is_excused(
+    tmp_path, monkeypatch, status, age_s, findings
+):
+    """A process that ends by itself is taken for one that has just started."""
+    ledger = evidence.Ledger()
+    process = _EndedProcess()
+    process.exit_status = status
+
+    async def main():
+        made = world.World(tmp_path, ledger, random.Random(1), lambda m: True)
+        member = made._make("n0", "stock", "127.0.0.1", ("127.0.0.1", 1))
+        member.process = process
+        # The process is looked at every 0.2 s.
+        member.started_at = ledger.now_s - age_s + 0.2
+
+        def start(member):
+            member.process = None
+
+        monkeypatch.setattr(made, "start_node", start)
+        with anyio.move_on_after(0.5):
+            await made._watch_exit(member)
+
+    anyio.run(main)
+    assert len(ledger.findings) == findings
+
+
 def test_end_of_the_run_is_not_a_finding(tmp_path):
     """Processes that end with the run are reported and started again."""
     ledger = evidence.Ledger()
--- a/medlardoor/soak/world.py
+++ b/medlardoor/soak/world.py
@@ -47,6 +47,11 @@
 START_S = 20.0
 POLL_S = 0.05
 
+# A process that ends by SIGHUP within this time of its start, in seconds, is no
+# finding: the interpreter may not have reached the line that ignores it, and an
+# end within a second of a start does not count as one by itself.
+STARTING_S = 1.0
+
 _READY_REQUEST = b"GET /ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n"
 
 _PORTS = {
@@ -72,6 +77,7 @@
         store_relay: Way of the node to the store.
         caller: Sends requests to the node.
         process: The node process; None while it is down.
+        started_at: When the process was started, in seconds.
         disturbed_until: When the node counts as calm again, in seconds.
         is_stopping: Whether a planned stop is in progress.
         frozen: The process that stands still; None if none does.
@@ -85,6 +91,7 @@
     store_relay: relay.Relay
     caller: callers.Caller | None = None
     process: processes.ManagedProcess | None = None
+    started_at: float = 0.0
     disturbed_until: float = 0.0
     is_stopping: bool = False
     frozen: processes.ManagedProcess | None = None
@@ -238,6 +245,7 @@
 
     def start_node(self, member: Member) -> None:
         """Starts the node process of a member."""
+        member.started_at = self.ledger.now_s
         member.process = processes.ManagedProcess(
             member.name,
             ["-m", "medlardoor.platform.main"],
@@ -386,7 +394,9 @@
                 continue
             status = process.exit_status
             if status is not None and member.process is process:
-                self.ledger.report(
-                    evidence.Promise.EXIT, f"{member.name}: status {status}"
-                )
+                age_s = self.ledger.now_s - member.started_at
+                if status != -signal.SIGHUP or age_s > STARTING_S:
+                    self.ledger.report(
+                        evidence.Promise.EXIT, f"{member.name}: status {status}"
+                    )
                 self.start_node(member)
