Keep to a share of a named limit until a restarted node knows it

Cause: nodes leave the limit to the node beside the upstream and trust its status at once. A node that has just started learns of the limit with its first answer, and sends on all that comes until then.

A node now trusts a start of another node only from the first answer that it has passed on. Until then it keeps to its equal share of the limit that it knows, as it does for nodes of earlier builds.

test_limit_outlasts_a_restart_of_the_node_beside_the_upstream: 20 calls in place of at most one before.

--- a/medlardoor/mesh/peers.py
+++ b/medlardoor/mesh/peers.py
@@ -72,6 +72,9 @@
         self.stopped_lender_incarnation: int | None = None
         # Pause between two status messages of the node, in seconds.
         self.status_interval_s = DEFAULT_STATUS_INTERVAL_S
+        # Incarnation of the node that has passed on a response of its upstream
+        # and so knows what the upstream says of itself.
+        self._informed_incarnation: int | None = None
         self._remote_upstream = remote_upstream.RemoteUpstream(headers)
         self._count_nodes = count_nodes
         self._loop = asyncio.get_running_loop()
@@ -116,10 +119,14 @@
         """Counts a request if the limit of the upstream allows it.
 
         Nodes that apply the limits of their upstreams see the requests of all
-        nodes. For others, each node keeps to an equal share.
+        nodes. For others, each node keeps to an equal share, and also for one
+        that has just started: it learns of a limit with its first response.
         """
         status = self.status
-        if status is None or status.applies_limits:
+        if status is None:
+            return True
+        is_informed = status.incarnation == self._informed_incarnation
+        if status.applies_limits and is_informed:
             return True
         upstream_id = status.upstream_id or ""
         if not self._remote_upstream.allows(upstream_id, now):
@@ -200,6 +207,7 @@
     def _observe_response(self, result: runs.RunResult, sent_at: float) -> None:
         """Remembers what a response says of the upstream."""
         if result.outcome is errors.Outcome.ANSWERED and self.status:
+            self._informed_incarnation = self.status.incarnation
             self._remote_upstream.observe(
                 self.status.upstream_id or "",
                 result.headers,
--- a/medlardoor/mesh/tests/test_remote_upstream.py
+++ b/medlardoor/mesh/tests/test_remote_upstream.py
@@ -1,10 +1,15 @@
 """Tests of what nodes remember of upstreams beside nodes of earlier builds."""
 
+import asyncio
+
 import pytest
 
-from medlardoor.mesh import remote_upstream
+from medlardoor import errors
+from medlardoor.membership import neighbours
+from medlardoor.mesh import peers, remote_upstream, runs, settings, statuses
 from medlardoor.mesh.tests import group as group_module
 from medlardoor.mesh.tests import test_named_limit
+from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 pytestmark = pytest.mark.anyio
 
@@ -108,3 +113,72 @@
     remote.observe("i-1", lines, 1, 0.0, 0.1)
     assert remote.allows("i-1", 0.1)
     assert not remote.has_left("i-1")
+
+
+class _Link:
+    """Link that keeps the calls that were sent on it."""
+
+    is_open = True
+    is_congested = False
+
+    def __init__(self):
+        self.calls = []
+
+    def send(self, frame):
+        self.calls.append(frame.call)
+        return True
+
+
+async def test_limit_outlasts_a_restart_of_the_node_beside_the_upstream():
+    """A node that has just started sent on more than the upstream takes.
+
+    It hears of the limit with the first answer only.
+    """
+    node = neighbours.KnownNode("s1", "stock", "d1")
+    peer = peers.Peer(
+        node, settings.Address("127.0.0.1", 1), group_module.HEADERS, lambda: 2
+    )
+    peer.link = _Link()
+    results = []
+
+    def send(count):
+        sent = len(peer.link.calls)
+        for _ in range(count):
+            peer.run(_make_run(), results.append)
+        return len(peer.link.calls) - sent
+
+    def answer(lines):
+        call = peer.link.calls[-1]
+        result = runs.RunResult(errors.Outcome.ANSWERED, headers=lines)
+        peer.call_answered(statuses.to_answer(call.id, result))
+
+    peer.apply_status(_make_status(1))
+    assert send(1) == 1
+    answer(b"rate-limit: 2\r\n")
+    # The node beside the upstream applies the limit.
+    assert send(20) == 20
+    peer.apply_status(_make_status(2))
+    assert send(20) <= 1
+    assert results[-1].outcome is errors.Outcome.NOT_RUN
+    answer(b"rate-limit: 2\r\n")
+    assert send(20) == 20
+
+
+def _make_status(incarnation):
+    return ttypes.NodeStatus(
+        instance="s1",
+        upstream_id="i-1",
+        incarnation=incarnation,
+        applies_limits=True,
+        limit=20,
+        running=0,
+        waiting=0,
+        level=0,
+    )
+
+
+def _make_run():
+    now = asyncio.get_running_loop().time()
+    return runs.Run(
+        "stock", b"a", b"GET", b"/x", b"", b"", now + 2, now + 1, 0, True
+    )
