Store the departure of an upstream that is not known yet

Cause: a deregistration that reaches a node before any heartbeat, as after a restart of the node, was acknowledged and kept in memory only. After another restart, a late heartbeat of that upstream was accepted.

Such a departure is now stored and told to peers like that of the upstream in use. One of another upstream than the one in use is still kept in memory only, since the store has room for one and must not lose the later.

test_departure_of_an_unknown_upstream_outlasts_a_restart failed before.

--- a/medlardoor/membership/announcements.py
+++ b/medlardoor/membership/announcements.py
@@ -3,7 +3,12 @@
 import dataclasses
 import enum
 
-__all__ = ["Announcement", "UpstreamChange", "UpstreamRegister"]
+__all__ = [
+    "Announcement",
+    "Departure",
+    "UpstreamChange",
+    "UpstreamRegister",
+]
 
 # Upstreams that have left are kept to reject their late heartbeats. One address
 # sees far fewer starts than this within the delay of a heartbeat.
@@ -40,10 +45,28 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """Announced end of an upstream.
+
+    Attributes:
+        upstream_id: Identifier of the upstream.
+        born_ms: Its start, as in `Announcement`.
+    """
+
+    upstream_id: str
+    born_ms: int
+
+
 class UpstreamChange(enum.Enum):
-    """Effect of an announcement on the state of the upstream."""
+    """Effect of an announcement on the state of the upstream.
+
+    ``LEFT`` is the departure of an upstream that this node did not know, as
+    after a restart of the node.
+    """
 
     NONE = "none"
+    LEFT = "left"
     STARTED = "started"
     RESTARTED = "restarted"
     LEAVING = "leaving"
@@ -63,6 +86,7 @@
         self._current: Announcement | None = None
         self._is_leaving = False
         self._left_start_ms: dict[str, int] = {}
+        self._last_departure: Departure | None = None
         self._cold_until = 0.0
 
     @property
@@ -80,6 +104,11 @@
         """Whether new requests may be sent to the upstream."""
         return self._current is not None and not self._is_leaving
 
+    @property
+    def last_departure(self) -> Departure | None:
+        """Departure that the last ``LEAVING`` or ``LEFT`` was about."""
+        return self._last_departure
+
     def cold_s(self, now: float) -> float:
         """Time for which the upstream is still slow, in seconds."""
         return max(0.0, self._cold_until - now)
@@ -123,7 +152,11 @@
                 time if the message has none.
         """
         current = self._current
-        if current is None or current.upstream_id != upstream_id:
+        if current is None:
+            self._record_departure(upstream_id, born_ms)
+            self._last_departure = Departure(upstream_id, born_ms)
+            return UpstreamChange.LEFT
+        if current.upstream_id != upstream_id:
             self._record_departure(upstream_id, born_ms)
             return UpstreamChange.NONE
         if born_ms < current.born_ms:
@@ -170,6 +203,7 @@
         self._is_leaving = True
         current = self._current
         self._record_departure(current.upstream_id, current.born_ms)
+        self._last_departure = Departure(current.upstream_id, current.born_ms)
         return UpstreamChange.LEAVING
 
     def _is_newer_start(
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -177,13 +177,14 @@
         """
         was_usable = self._local.is_usable
         self._local.apply_upstream_change(change)
-        if change is announcements.UpstreamChange.LEAVING:
-            current = self._register.current
-            self._presence.record_departure(
-                current.upstream_id, current.born_ms
-            )
+        if change in (
+            announcements.UpstreamChange.LEAVING,
+            announcements.UpstreamChange.LEFT,
+        ):
+            last = self._register.last_departure
+            self._presence.record_departure(last.upstream_id, last.born_ms)
             departure = ttypes.UpstreamLeft(
-                self._settings.instance, current.upstream_id, current.born_ms
+                self._settings.instance, last.upstream_id, last.born_ms
             )
             self._fleet.broadcast(ttypes.Frame(left=departure))
         if self._local.is_usable is not was_usable or change in (
--- a/medlardoor/mesh/tests/test_leaving_response.py
+++ b/medlardoor/mesh/tests/test_leaving_response.py
@@ -68,3 +68,25 @@
         member.send_heartbeat(born_ms=2_000)
         member.upstream.extra_headers = b""
     assert member.node.register.is_usable
+
+
+async def test_departure_of_an_unknown_upstream_outlasts_a_restart(group):
+    """A late heartbeat of an upstream that had left put it in use again.
+
+    Its departure came before any heartbeat to this process of the node.
+    """
+    member = group.members["s1"]
+    register = member.node.register
+    register.record_replacement("i-s1")
+    member.node.handle_upstream_change(register.deregister("i-2", 5_000))
+    await group_module.wait_until(
+        lambda: b"i-2" in group.table.read("instances/s1").value
+    )
+    member.scope.cancel()
+    await member.done.wait()
+    await member.start_node(group.tasks)
+    await group_module.wait_until(lambda: member.node._presence.has_read_own)
+    member.send_heartbeat(upstream_id="i-2", born_ms=5_000)
+    assert member.node.register.current.upstream_id == "i-s1"
+    member.send_heartbeat(upstream_id="i-3", born_ms=6_000)
+    assert member.node.register.current.upstream_id == "i-3"
