Keep the next upstream in use when a 421 for the former one arrives

A new upstream was out of use until its next heartbeat when its first heartbeat crossed a 421 to a request for its predecessor (seen in the code by the review).

Cause: a 421 discarded whatever upstream was in use at the moment it arrived. Now it discards only the start that its request was sent to.

test_misdirected_response_does_not_discard_the_next_upstream: no upstream was in use before. The encoding of requests moved to mesh/run_requests.

--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -165,7 +165,7 @@
         self._upstream.observer.observe(
             response, self.sent_to, self.ticket.started_at
         )
-        result = self._upstream.to_result(self.run, response)
+        result = self._upstream.to_result(self, response)
         if result.outcome is errors.Outcome.NOT_RUN:
             connection.record_rejection(self.run.attempt_id)
         self._upstream.return_connection(connection)
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -17,6 +17,7 @@
     http_messages,
     local_run,
     response_observer,
+    run_requests,
     run_results,
     runs,
     upstream_pool,
@@ -257,24 +258,11 @@
 
     def encode_request(self, run: runs.Run) -> bytes | None:
         """Encodes a request; returns None if it can no longer run."""
-        current = self._register.current
-        if not self._register.is_usable:
-            return None
         left_ms = int((run.deadline - self._loop.time()) * 1_000)
-        if left_ms <= 0:
+        if not self._register.is_usable or left_ms <= 0:
             return None
-        names = self._headers
-        lines = run.headers + b"%b: %d\r\n%b: %b\r\n" % (
-            names.deadline_ms,
-            left_ms,
-            names.expected_upstream,
-            current.upstream_id.encode(),
-        )
-        if run.team:
-            lines += b"%b: %b\r\n" % (names.team, run.team)
-        return http_messages.encode_request(
-            run.method, run.target, lines, run.body
-        )
+        upstream_id = self._register.current.upstream_id
+        return run_requests.encode(run, upstream_id, left_ms, self._headers)
 
     def release_body(self, handle: local_run.LocalRun) -> None:
         """Releases the buffer budget of a run that has ended, and its body."""
@@ -348,28 +336,38 @@
         self._pool.return_connection(connection, self._loop.time())
 
     def to_result(
-        self, run: runs.Run, response: connection_module.UpstreamResponse
+        self,
+        handle: local_run.LocalRun,
+        response: connection_module.UpstreamResponse,
     ) -> runs.RunResult:
         """Converts a response of the upstream to the result of a run."""
+        attempt_id = handle.run.attempt_id
         load = response.header(self._headers.load.lower())
         slots = http_messages.parse_load_slots(load) if load is not None else 0
         if slots > 0:
             self._admission_queue.set_slots(slots)
         if response.status == response_observer.MISDIRECTED_STATUS:
-            self._started_attempts.pop(run.attempt_id, None)
-            self._discard_upstream()
+            self._started_attempts.pop(attempt_id, None)
+            self._discard_upstream(handle.sent_to)
             return self._refusal(errors.Reason.NO_UPSTREAM)
         result = run_results.from_response(
             response, self._headers, self._admission_queue
         )
         if result.outcome is errors.Outcome.NOT_RUN:
-            self._started_attempts.pop(run.attempt_id, None)
+            self._started_attempts.pop(attempt_id, None)
         return result
 
-    def _discard_upstream(self) -> None:
-        """Discards the upstream: another one now uses its address."""
+    def _discard_upstream(
+        self, sent_to: announcements.Announcement | None
+    ) -> None:
+        """Discards the upstream that another one has replaced.
+
+        Args:
+            sent_to: Last announcement of the upstream that the request was for.
+                If the next one has been announced since, it stays in use.
+        """
         current = self._register.current
-        if current is not None:
+        if current is not None and current.is_same_start(sent_to):
             logs.log_event(
                 _LOG,
                 logbook.WARNING,
@@ -378,7 +376,7 @@
             )
             self._register.record_replacement(current.upstream_id)
             self._admission_queue.named_limit.clear()
-        self._refuse_waiting(errors.Reason.NO_UPSTREAM)
+            self._refuse_waiting(errors.Reason.NO_UPSTREAM)
 
     def _mark_down(self, detail: str) -> None:
         """Marks the upstream as down and refuses the waiting requests."""
--- a/medlardoor/mesh/tests/test_leaving_response.py
+++ b/medlardoor/mesh/tests/test_leaving_response.py
@@ -90,3 +90,26 @@
     assert member.node.register.current.upstream_id == "i-s1"
     member.send_heartbeat(upstream_id="i-3", born_ms=6_000)
     assert member.node.register.current.upstream_id == "i-3"
+
+
+async def test_misdirected_response_does_not_discard_the_next_upstream(group):
+    """A 421 to a request for the former upstream took the new one out of use.
+
+    The heartbeat of the new upstream and the response cross.
+    """
+    member = group.members["o1"]
+    upstream = member.upstream
+    handle = upstream.handle
+
+    def announce_and_handle(request, reply):
+        if upstream.upstream_id == "i-o1":
+            upstream.upstream_id = "i-new"
+            member.send_heartbeat(upstream_id="i-new", born_ms=2_000)
+        return handle(request, reply)
+
+    upstream.handle = announce_and_handle
+    response = await member.call("/order/1", "first", method="POST")
+    assert response.status == 503
+    assert member.node.register.current.upstream_id == "i-new"
+    response = await member.call("/order/1", "second", method="POST")
+    assert response.status == 200
