--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from medlardoor.soak import evidence, relay, upstreams
+from medlardoor.soak import documents, evidence, relay, upstreams
 from medlardoor.soak import world as world_module
 from medlardoor.standins import object_store
 
@@ -176,7 +176,7 @@
         ledger = self._world.ledger
         while ledger.now_s < until_s:
             await anyio.sleep(generator.uniform(0.0, SPELL_PAUSE_S))
-            service = generator.choice(world_module.SERVICES)
+            service = generator.choice(documents.SERVICES)
             self.log.append(f"{ledger.now_s:7.2f} s repeat_answers {service}")
             affected = [
                 member.upstream
@@ -247,7 +247,7 @@
         self._move_browsing(self._generator)
 
     def _move_browsing(self, generator: random.Random) -> None:
-        target = generator.choice(world_module.SERVICES)
+        target = generator.choice(documents.SERVICES)
         self._world.write_document(browse=target)
 
     async def _limit_upstream(self, member: Member) -> None:
--- a/medlardoor/soak/run.py
+++ b/medlardoor/soak/run.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from medlardoor.soak import evidence, faults, world
+from medlardoor.soak import documents, evidence, faults, world
 
 __all__ = ["Report", "run"]
 
@@ -66,7 +66,7 @@
     ledger = evidence.Ledger(
         {
             team.name: team.rate_per_s * window_s + team.burst
-            for team in world.TEAMS
+            for team in documents.TEAMS
         }
     )
     series = None
--- a/medlardoor/soak/world.py
+++ b/medlardoor/soak/world.py
@@ -12,27 +12,13 @@
 
 from medlardoor.mesh import server_connection
 from medlardoor.platform import names
-from medlardoor.soak import callers, evidence, relay, upstreams
+from medlardoor.soak import callers, documents, evidence, relay, upstreams
 from medlardoor.standins import object_store, processes
 
-__all__ = ["KINDS", "TEAMS", "Member", "World", "wait_exit"]
+__all__ = ["Member", "World", "wait_exit"]
 
-SERVICES = ("orders", "stock")
 NODES_EACH = 3
 RATE = 12.0
-MAX_ATTEMPTS = 2
-
-KINDS = (
-    callers.CallKind("order", "orders", True, 1.0),
-    callers.CallKind("read", "stock", False, 2.0),
-    callers.CallKind("browse", "stock", False, 1.0),
-)
-TEAMS = (
-    callers.CallTeam("shops", "key-of-shops", 1_000, 1_000, 2.0),
-    # Sends about two and a half times its limit.
-    callers.CallTeam("riders", "key-of-riders", 10, 10, 1.0),
-)
-_PRIORITIES = {"order": 0, "read": 1, "browse": 2}
 
 # Two readiness checks without success take a node's callers away.
 READY_INTERVAL_S = 1.0
@@ -160,7 +146,7 @@
         self._store_connections: set[server_connection.ServerConnection] = set()
         self._version = 0
         self._document: dict[str, typing.Any] = {}
-        self.unsafe_attempts = MAX_ATTEMPTS
+        self.unsafe_attempts = documents.MAX_ATTEMPTS
         self.ledger = ledger
         self.store = object_store.StandinStore()
         self.members: list[Member] = []
@@ -176,8 +162,8 @@
             *store_address,
         )
         self.write_document()
-        for number in range(len(SERVICES) * NODES_EACH):
-            service = SERVICES[number % len(SERVICES)]
+        for number in range(len(documents.SERVICES) * NODES_EACH):
+            service = documents.SERVICES[number % len(documents.SERVICES)]
             host = f"{self._network}.{number + 1}"
             member = self._make(f"n{number}", service, host, store_address)
             self.members.append(member)
@@ -201,40 +187,11 @@
             **changes: Services of kinds that are moved.
         """
         self._version += self._generator.randrange(1, 5)
-        rules = [
-            {
-                "name": kind.name,
-                "kind": "unsafe" if kind.is_unsafe else "safe",
-                "targetLatency": "500ms",
-                "priority": _PRIORITIES[kind.name],
-                "match": {"pathPrefix": f"/{kind.name}/"},
-                "action": {
-                    "service": changes.get(kind.name, kind.service),
-                    "timeout": "2000ms",
-                    "maxAttempts": self.unsafe_attempts
-                    if kind.is_unsafe
-                    else MAX_ATTEMPTS,
-                },
-            }
-            for kind in KINDS
-        ]
-        spec = {
-            "version": self._version,
-            "tenants": [
-                {
-                    "name": team.name,
-                    "apiKeys": [team.key],
-                    "ratePerS": team.rate_per_s,
-                    "burst": team.burst,
-                }
-                for team in TEAMS
-            ],
-            "listeners": [{"host": "soak.example", "rules": rules}],
-            "clusters": [{"name": name} for name in SERVICES],
-        }
-        self._document = spec
+        self._document = documents.make_document(
+            self._version, changes, self.unsafe_attempts
+        )
         self.write_document_again()
-        for kind in KINDS:
+        for kind in documents.KINDS:
             self.ledger.confirmed(
                 kind.name, changes.get(kind.name, kind.service)
             )
@@ -324,8 +281,8 @@
         )
         member.caller = callers.Caller(
             member.address("outbound"),
-            KINDS,
-            TEAMS,
+            documents.KINDS,
+            documents.TEAMS,
             self.ledger,
             self._generator,
             RATE,
@@ -341,7 +298,7 @@
         lines = {
             "self.node": member.name,
             "self.ip": host,
-            "self.zone": f"z{int(member.name[1:]) // len(SERVICES)}",
+            "self.zone": f"z{int(member.name[1:]) // len(documents.SERVICES)}",
             "self.service": member.service,
             "self.appAddr": f"{host}:{_PORTS['upstream']}",
             "self.linkAddr": f"{host}:{_PORTS['link']}",
