--- a/medlardoor/mesh/tests/test_body_memory.py
+++ b/medlardoor/mesh/tests/test_body_memory.py
@@ -139,7 +139,7 @@
 
 
 def test_small_chunks_take_what_the_budget_counts(run):
-    """A body in small chunks took twelve times the memory that was counted."""
+    """A body in small chunks took eleven times the memory that was counted."""
 
     def check(receiver):
         tracemalloc.start()
