Give crashes in a test the time of the event loop

Cause: a fault of the test. It recorded crashes at the times 0, 1 and 2, while the nodes compare the end of a quarantine with the event loop's clock, which counts from the start of the machine. On a machine that had run for more than an hour the quarantine had already ended.

Ruled out: a race between status and handover (30 of 30 runs pass on a machine that has run for minutes).

Clock of the loop shifted (trial): by 0 and 3,000 s it passed, by 3,700 and 1,000,000 s it failed, each time. With the time of the loop it passes at each of these shifts and with a clock that starts at zero. What the test demands is unchanged.

--- a/medlardoor/mesh/tests/test_quiet_crash.py
+++ b/medlardoor/mesh/tests/test_quiet_crash.py
@@ -96,9 +96,10 @@
     other = await group.add("o2", "orders")
     await group.wait_until_settled()
     tracker = other.node._crashes
+    now = anyio.current_time()
     for number in range(3):
-        tracker.started(number, _crashing_run(), number)
-        tracker.upstream_terminated(float(number))
+        tracker.started(number, _crashing_run(), now)
+        tracker.upstream_terminated(now)
     for restarted in (member, other):
         restarted.scope.cancel()
         await restarted.done.wait()
