Do not clear a crashing request when it is shed

Cause: the end of a run was reported to the attribution of crashes as "a complete response was received". A rejection by the upstream (503 that says that it has not run, or 421) counted too and cleared the suspicion at all nodes, so a crashing request was not quarantined while its upstreams shed requests now and then.

Change: only a response that shows that the request has run clears it.

Before: test_rejection_does_not_clear_a_suspect fails, the request reaches the upstream a fourth time. After: refused after three crashes.

--- a/medlardoor/mesh/crashes.py
+++ b/medlardoor/mesh/crashes.py
@@ -91,13 +91,14 @@
         self._in_flight[key] = _InFlight(run)
 
     def finished(
-        self, key: object, is_answered: bool, is_broken: bool, now: float
+        self, key: object, has_run: bool, is_broken: bool, now: float
     ) -> None:
         """Records that a run has ended.
 
         Args:
             key: Identifies the run.
-            is_answered: Whether a complete response was received.
+            has_run: Whether a complete response was received that was not a
+                rejection; an upstream that sheds a request proves nothing.
             is_broken: Whether the exchange ended without a response.
             now: Current time, in seconds.
         """
@@ -107,7 +108,7 @@
                 entry.broken_at = now
             return
         entry = self._in_flight.pop(key, None)
-        if entry is None or not is_answered or not self._topic.suspects:
+        if entry is None or not has_run or not self._topic.suspects:
             return
         fingerprint = _fingerprint(entry.run)
         if fingerprint not in self._topic.suspects:
--- a/medlardoor/mesh/local_run.py
+++ b/medlardoor/mesh/local_run.py
@@ -34,6 +34,7 @@
         "_path_level",
         "_report",
         "buffered_bytes",
+        "has_run",
         "holds_slot",
         "run",
         "sent_to",
@@ -61,6 +62,8 @@
         )
         self.holds_slot = False
         self.was_sent = False
+        # Whether a complete response has shown that the request has run.
+        self.has_run = False
         # Last announcement of the upstream when the request was sent.
         self.sent_to: announcements.Announcement | None = None
         # Bytes of the body that are counted in the buffer budget.
@@ -166,6 +169,7 @@
             response, self.sent_to, self.ticket.started_at
         )
         result = self._upstream.to_result(self, response)
+        self.has_run = result.outcome is errors.Outcome.ANSWERED
         if result.outcome is errors.Outcome.NOT_RUN:
             connection.record_rejection(self.run.attempt_id)
         self._upstream.return_connection(connection)
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -300,7 +300,7 @@
         if handle.was_sent:
             if self._in_flight.get(handle.run.attempt_id) is handle:
                 del self._in_flight[handle.run.attempt_id]
-            self._crashes.finished(handle, is_answered, is_broken, now)
+            self._crashes.finished(handle, handle.has_run, is_broken, now)
         if handle.holds_slot:
             handle.holds_slot = False
             self._admission_queue.end(handle.ticket, now, is_answered)
--- a/medlardoor/mesh/tests/test_quiet_crash.py
+++ b/medlardoor/mesh/tests/test_quiet_crash.py
@@ -23,6 +23,8 @@
         self._handle = member.upstream.handle
         self.starts = 1
         self.crashes = 0
+        # Whether crashing requests are shed in place of run.
+        self.is_shedding = False
         member.upstream.handle = self._crash_or_handle
 
     async def restart(self):
@@ -39,6 +41,9 @@
     def _crash_or_handle(self, request, reply):
         if request.target != CRASHING_TARGET:
             return self._handle(request, reply)
+        if self.is_shedding:
+            self._member.upstream.remaining_sheds = 1
+            return self._handle(request, reply)
         self.crashes += 1
         self._member.upstream.crash()
         return None
@@ -66,6 +71,30 @@
     assert response.status == 200
 
 
+async def test_rejection_does_not_clear_a_suspect(group):
+    """A crashing request was cleared each time that a busy upstream shed it."""
+    member = group.members["o1"]
+    upstream = _CrashingUpstream(member)
+    fleet = group.members["s1"].node._fleet
+    for number in range(3):
+        response = await member.call(
+            CRASHING_TARGET.decode(), f"crash-{number}", method="POST"
+        )
+        assert response.status == 502
+        await upstream.restart()
+        await group_module.wait_until(lambda: fleet.candidates("orders"))
+        upstream.is_shedding = True
+        await member.call(
+            CRASHING_TARGET.decode(), f"shed-{number}", method="POST"
+        )
+        upstream.is_shedding = False
+    response = await member.call(
+        CRASHING_TARGET.decode(), "crash-last", method="POST"
+    )
+    assert response.status == 503
+    assert upstream.crashes == 3
+
+
 async def test_lost_response_is_no_crash(group):
     """A request is not blamed for a connection that alone was closed."""
     member = group.members["o1"]
