Count crashes at one moment once for requests that run well

Cause: each crash counted for every request in flight. With several copies of a crashing request running at once, a popular innocent request was in flight at three crashes before any of its answers could clear it, and was refused for an hour.

A request that was never answered counts each time.

Ruled out: leaving popular requests out of the attribution. A popular request that crashes would then never be quarantined.

--- a/medlardoor/mesh/crashes.py
+++ b/medlardoor/mesh/crashes.py
@@ -37,8 +37,9 @@
 class CrashTracker:
     """Reports the requests in flight at a crash to the quarantine.
 
-    Fingerprints are computed only after a crash or while there are suspects,
-    since they cost more than the rest of the bookkeeping.
+    Fingerprints are computed only after a crash, while there are suspects, and
+    for a sample of the answered requests, since they cost more than the rest of
+    the bookkeeping.
 
     Args:
         quarantine: Decides which requests are suspect or quarantined.
@@ -108,10 +109,15 @@
                 entry.broken_at = now
             return
         entry = self._in_flight.pop(key, None)
-        if entry is None or not has_run or not self._topic.suspects:
+        if entry is None or not has_run:
+            return
+        answered = self._quarantine.answered
+        if not self._topic.suspects and not answered.is_sample_due(now):
             return
         fingerprint = _fingerprint(entry.run)
         if fingerprint not in self._topic.suspects:
+            if answered.is_sample_due(now):
+                answered.record(fingerprint, now)
             return
         call_id = next(self._call_ids)
         self._quarantine.started(call_id, fingerprint, now)
--- a/medlardoor/mesh/tests/test_crashes.py
+++ b/medlardoor/mesh/tests/test_crashes.py
@@ -84,6 +84,16 @@
     assert len(harness.published) >= 5
 
 
+def test_popular_request_survives_crashes_at_one_moment(harness):
+    """A popular request was refused for an hour after three quick crashes."""
+    harness.succeed(b"/popular")
+    for number in range(3):
+        harness.crash_with(b"/bad", b"/popular")
+        harness.now -= 4.9
+        assert harness.may_start(b"/popular"), number
+    assert not harness.may_start(b"/bad")
+
+
 def test_broken_connection_alone_is_no_crash(harness):
     """A broken connection alone must not count as an upstream crash."""
     harness.tracker.started("x", _run(b"/x"), 1.0)
--- a/medlardoor/quarantine/controller.py
+++ b/medlardoor/quarantine/controller.py
@@ -1,6 +1,5 @@
 """Attribution of upstream crashes to the requests that cause them."""
 
-import collections
 import dataclasses
 import random as random_module
 
@@ -8,7 +7,7 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
-from medlardoor.quarantine import fingerprints, objects
+from medlardoor.quarantine import answers, fingerprints, objects
 from medlardoor.quarantine import settings as settings_module
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
@@ -57,6 +56,8 @@
     A crash is attributed to the suspects in flight, or to all fingerprints in
     flight if none of them is suspect. Suspects run one at a time on a node, so
     a second crash by the same request is attributed to that request alone.
+    Crashes at the same moment count once for a request that has run well,
+    unless it was the only one in flight.
 
     Args:
         settings: Limits and durations.
@@ -76,9 +77,8 @@
         self._random = random
         self._suspected_at: dict[bytes, float] = {}
         self._in_flight: dict[int, bytes] = {}
-        self._crash_ids: collections.OrderedDict[int, None] = (
-            collections.OrderedDict()
-        )
+        self._answered = answers.AnsweredRequests()
+        self._crash_ids: dict[int, None] = {}
         # Ended quarantines, with the time in seconds from which on a platform
         # object may renew them. An outdated object must not do so earlier.
         self._renewable_at: dict[bytes, float] = {}
@@ -89,6 +89,11 @@
         """Number that grows with each change of the quarantined set."""
         return self._revision
 
+    @property
+    def answered(self) -> answers.AnsweredRequests:
+        """Sample of the requests that upstreams have answered."""
+        return self._answered
+
     @property
     def has_suspect_in_flight(self) -> bool:
         """Whether a suspect is running on this node."""
@@ -140,7 +145,10 @@
             cleared; None otherwise.
         """
         fingerprint = self._in_flight.pop(call_id, None)
-        if not is_success or fingerprint not in self._topic.suspects:
+        if not is_success or fingerprint is None:
+            return None
+        self._answered.record(fingerprint, now)
+        if fingerprint not in self._topic.suspects:
             return None
         self._clear_suspicion(fingerprint)
         return ttypes.QuarantineUpdate(
@@ -189,7 +197,9 @@
         if report.crash_id in self._crash_ids:
             return False
         self._record_crash_id(report.crash_id)
-        self._attribute_crash(_valid_fingerprints(report.fingerprints), now)
+        self._attribute_crash(
+            fingerprints.well_formed(report.fingerprints), now
+        )
         return True
 
     def receive_update(
@@ -204,7 +214,7 @@
         """
         if update.service_name != self._board.service:
             return False
-        for fingerprint in _valid_fingerprints(update.cleared):
+        for fingerprint in fingerprints.well_formed(update.cleared):
             self._clear_suspicion(fingerprint)
         if update.remaining_ms is not None:
             self.expire(now)
@@ -215,7 +225,7 @@
                 if len(fingerprint) == fingerprints.FINGERPRINT_BYTES:
                     self._take_over(fingerprint, left_ms / 1_000, now)
             return True
-        for fingerprint in _valid_fingerprints(update.quarantined):
+        for fingerprint in fingerprints.well_formed(update.quarantined):
             if fingerprint not in self._topic.quarantined:
                 self._quarantine(fingerprint, self._settings.quarantine_s, now)
         return True
@@ -341,11 +351,14 @@
     def _record_crash_id(self, crash_id: int) -> None:
         self._crash_ids[crash_id] = None
         while len(self._crash_ids) > MAX_CRASH_IDS:
-            self._crash_ids.popitem(last=False)
+            del self._crash_ids[next(iter(self._crash_ids))]
 
     def _attribute_crash(self, attributed: list[bytes], now: float) -> None:
         for fingerprint in attributed:
-            self._add_crash(fingerprint, now)
+            if len(attributed) == 1 or self._answered.is_new_evidence(
+                fingerprint, self._suspected_at.get(fingerprint), now
+            ):
+                self._add_crash(fingerprint, now)
         self._evict_suspects()
 
     def _add_crash(self, fingerprint: bytes, now: float) -> None:
@@ -384,12 +397,3 @@
         )
         for fingerprint in by_crash_count[:excess]:
             self._clear_suspicion(fingerprint)
-
-
-def _valid_fingerprints(values: list[bytes] | None) -> list[bytes]:
-    """Returns the fingerprints that have the right length."""
-    return [
-        value
-        for value in values or []
-        if len(value) == fingerprints.FINGERPRINT_BYTES
-    ]
--- a/medlardoor/quarantine/fingerprints.py
+++ b/medlardoor/quarantine/fingerprints.py
@@ -2,7 +2,12 @@
 
 import hashlib
 
-__all__ = ["BODY_PREFIX_BYTES", "FINGERPRINT_BYTES", "fingerprint"]
+__all__ = [
+    "BODY_PREFIX_BYTES",
+    "FINGERPRINT_BYTES",
+    "fingerprint",
+    "well_formed",
+]
 
 BODY_PREFIX_BYTES = 65_536
 FINGERPRINT_BYTES = 16
@@ -31,3 +36,8 @@
         digest.update(data)
     digest.update(body_prefix[:BODY_PREFIX_BYTES])
     return digest.digest()
+
+
+def well_formed(values: list[bytes] | None) -> list[bytes]:
+    """Returns the fingerprints of a message that have the right length."""
+    return [value for value in values or [] if len(value) == FINGERPRINT_BYTES]
--- a/medlardoor/quarantine/tests/test_controller.py
+++ b/medlardoor/quarantine/tests/test_controller.py
@@ -4,7 +4,7 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
-from medlardoor.quarantine import controller, fingerprints
+from medlardoor.quarantine import answers, controller, fingerprints
 from medlardoor.quarantine import settings as settings_module
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
@@ -60,6 +60,53 @@
     )
 
 
+def test_popular_request_survives_crashes_at_one_moment():
+    """A popular request was refused for an hour after three quick crashes."""
+    popular = _fingerprint(1)
+    quarantine, peer = _controller(), _controller("b")
+    for node in (quarantine, peer):
+        node.started(0, popular, 0.0)
+        node.finished(0, True, 1.0)
+    for number in range(3):
+        report = _crash(quarantine, 10.0 + number / 10, popular, CRASHING)
+        peer.receive_crash_report(report, 10.0 + number / 10)
+    for node in (quarantine, peer):
+        assert isinstance(node.check(CRASHING, 11.0), controller.Quarantined)
+        assert isinstance(node.check(popular, 11.0), controller.Suspect)
+
+
+def test_request_that_ran_well_is_quarantined_if_it_crashes_alone():
+    """A request that began to crash upstreams was taken for a popular one."""
+    quarantine = _controller()
+    quarantine.started(0, CRASHING, 0.0)
+    quarantine.finished(0, True, 1.0)
+    for number in range(3):
+        _crash(quarantine, 10.0 + number / 10, CRASHING)
+    assert isinstance(quarantine.check(CRASHING, 11.0), controller.Quarantined)
+
+
+def test_request_that_ran_well_is_quarantined_after_three_moments():
+    """A request that began to crash upstreams was never quarantined."""
+    quarantine = _controller()
+    quarantine.started(0, CRASHING, 0.0)
+    quarantine.finished(0, True, 1.0)
+    for number in range(3):
+        _crash(quarantine, 10.0 + number, CRASHING, _fingerprint(1))
+    assert isinstance(quarantine.check(CRASHING, 13.0), controller.Quarantined)
+
+
+def test_sample_of_answered_requests_stays_bounded():
+    """Fingerprints of answered requests filled the memory."""
+    answered = answers.AnsweredRequests()
+    for number in range(answers.MAX_FINGERPRINTS + 1):
+        answered.record(_fingerprint(number), float(number))
+    assert _fingerprint(0) not in answered
+    assert _fingerprint(answers.MAX_FINGERPRINTS) in answered
+    last = float(answers.MAX_FINGERPRINTS)
+    assert not answered.is_sample_due(last + answers.SAMPLE_INTERVAL_S / 2)
+    assert answered.is_sample_due(last + answers.SAMPLE_INTERVAL_S)
+
+
 def test_success_clears_a_suspect_everywhere():
     """A cleared request stays suspect at other nodes."""
     quarantine, peer = _controller(), _controller("b")
