Tell a node that starts of suspicions, not only of quarantines

Cause: knowledge that dies with a process. The crashes of a request below three were kept in memory only. Rolling restarts between its crashes kept a request out of quarantine for good.

Change: the handover at the opening of a link carries the 64 suspicions with most crashes, their age, and the newest 64 identifiers of crashes, so that none counts twice.

The nodes of the tests' group kept the seed of their generator over a restart, and thereby identifiers of crashes. They change it now, as the processes do.

--- a/medlardoor/mesh/crashes.py
+++ b/medlardoor/mesh/crashes.py
@@ -155,7 +155,8 @@
             now: Current time, in seconds.
 
         Returns:
-            The quarantines of the service; None if there are none.
+            The suspicions and quarantines of the service; None if there are
+            none.
         """
         update = self._quarantine.to_update(now)
         if update is None:
--- a/medlardoor/mesh/tests/group.py
+++ b/medlardoor/mesh/tests/group.py
@@ -216,6 +216,11 @@
     async def start_node(self, task_group):
         self.scope = anyio.CancelScope()
         self.stop = anyio.Event()
+        # A process draws its seed when it starts; crash identifiers depend on
+        # it.
+        self.settings = dataclasses.replace(
+            self.settings, seed=self.settings.seed + 1
+        )
         self.node = node.Node(
             self.settings, self.store, DOCUMENT_KEY, Decoder()
         )
--- a/medlardoor/mesh/tests/test_quiet_crash.py
+++ b/medlardoor/mesh/tests/test_quiet_crash.py
@@ -32,7 +32,7 @@
         member = self._member
         await anyio.sleep(crashes.CRASH_WINDOW_S + 0.2)
         self.starts += 1
-        member.upstream.upstream_id = f"i-o1-{self.starts}"
+        member.upstream.upstream_id = f"i-{member.name}-{self.starts}"
         await member.upstream.listen(member.host, member.settings.upstream.port)
         member.send_heartbeat(
             upstream_id=member.upstream.upstream_id, born_ms=1_000 + self.starts
@@ -141,6 +141,36 @@
     assert upstream.crashes == 0
 
 
+async def test_restarted_nodes_keep_suspicions(group):
+    """Rolling restarts between its crashes kept a request out of quarantine."""
+    members = group.members
+    await group.add("o2", "orders")
+    await group.wait_until_settled()
+    upstreams = [_CrashingUpstream(members[name]) for name in ("o1", "o2")]
+    for number in range(3):
+        before = [upstream.crashes for upstream in upstreams]
+        response = await members["s1"].call(
+            CRASHING_TARGET.decode(), f"crash-{number}", method="POST"
+        )
+        assert response.status == 502
+        for upstream, crashes_before in zip(upstreams, before, strict=True):
+            if upstream.crashes > crashes_before:
+                await upstream.restart()
+        # Upstreams without heartbeats are taken for silent after some seconds.
+        for name in ("s1", "s2"):
+            members[name].send_heartbeat()
+        for name in ("o1", "o2"):
+            members[name].scope.cancel()
+            await members[name].done.wait()
+            await members[name].start_node(group.tasks)
+            await group.wait_until_settled()
+    response = await members["s1"].call(
+        CRASHING_TARGET.decode(), "crash-last", method="POST"
+    )
+    assert response.status == 503
+    assert sum(upstream.crashes for upstream in upstreams) == 3
+
+
 def _crashing_run():
     return runs.Run(
         "orders", b"a", b"POST", CRASHING_TARGET, b"", b"", 9e9, 9e9, 0, False
--- a/medlardoor/quarantine/controller.py
+++ b/medlardoor/quarantine/controller.py
@@ -7,7 +7,7 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
-from medlardoor.quarantine import answers, fingerprints, objects
+from medlardoor.quarantine import answers, fingerprints, handover, objects
 from medlardoor.quarantine import settings as settings_module
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
@@ -218,12 +218,12 @@
             self._clear_suspicion(fingerprint)
         if update.remaining_ms is not None:
             self.expire(now)
-            entries = zip(
-                update.quarantined or [], update.remaining_ms, strict=False
-            )
-            for fingerprint, left_ms in entries:
-                if len(fingerprint) == fingerprints.FINGERPRINT_BYTES:
-                    self._take_over(fingerprint, left_ms / 1_000, now)
+            for fingerprint, left_s in handover.valid_quarantines(update):
+                self._take_over(fingerprint, left_s, now)
+            for suspicion in handover.valid_suspicions(update):
+                self._take_over_suspicion(suspicion, now)
+            for crash_id in update.crash_ids or []:
+                self._record_crash_id(crash_id)
             return True
         for fingerprint in fingerprints.well_formed(update.quarantined):
             if fingerprint not in self._topic.quarantined:
@@ -231,27 +231,17 @@
         return True
 
     def to_update(self, now: float) -> ttypes.QuarantineUpdate | None:
-        """Returns all quarantines, for a node that may not know of them.
+        """Returns what a node that may have just started must know.
 
         Args:
             now: Local clock, in seconds.
 
         Returns:
-            The update, with the time that is left of each quarantine; None if
-            there is none.
+            All quarantines and suspicions; None if there are none.
         """
         self.expire(now)
-        # Those that last longest come first if there are too many.
-        ends = sorted(
-            self._topic.quarantined.items(), key=lambda entry: -entry[1]
-        )[:MAX_REPORTED_FINGERPRINTS]
-        if not ends:
-            return None
-        return ttypes.QuarantineUpdate(
-            self._board.service,
-            quarantined=[fingerprint for fingerprint, _ in ends],
-            cleared=[],
-            remaining_ms=[int((end - now) * 1_000) for _, end in ends],
+        return handover.make_update(
+            self._board, self._suspected_at, self._crash_ids, now
         )
 
     def expire(self, now: float) -> None:
@@ -278,12 +268,7 @@
     def to_object(self, now: float) -> bytes:
         """Returns the value of the platform object ``quarantine/<service>``."""
         self.expire(now)
-        remaining = {
-            fingerprint.hex(): round(end - now, 3)
-            for fingerprint, end in self._topic.quarantined.items()
-        }
-        quarantine_object = objects.QuarantineObject(remaining_s=remaining)
-        return quarantine_object.model_dump_json().encode()
+        return objects.encode(self._topic.quarantined, now)
 
     def merge_object(
         self, value: bytes, now: float
@@ -320,13 +305,7 @@
             now: Local clock, in seconds.
         """
         self.expire(now)
-        if not self._topic.quarantined:
-            return True
-        parsed = objects.parse(value)
-        if parsed.is_err():
-            return False
-        stored = parsed.unwrap().remaining_s
-        return all(f.hex() in stored for f in self._topic.quarantined)
+        return objects.covers(value, self._topic.quarantined)
 
     def _take_over(
         self, fingerprint: bytes, remaining_s: float, now: float
@@ -348,6 +327,26 @@
         self._quarantine(fingerprint, duration_s, now)
         return True
 
+    def _take_over_suspicion(
+        self, suspicion: ttypes.Suspicion, now: float
+    ) -> None:
+        """Adds a suspicion or the crashes that this node has not counted."""
+        fingerprint = suspicion.fingerprint
+        counted_at = now - suspicion.age_ms / 1_000
+        if (
+            fingerprint in self._topic.quarantined
+            or now - counted_at >= self._settings.suspicion_s
+        ):
+            return
+        self._topic.suspects[fingerprint] = max(
+            self._topic.suspects.get(fingerprint, 0),
+            min(suspicion.crashes, self._settings.max_crashes - 1),
+        )
+        self._suspected_at[fingerprint] = max(
+            self._suspected_at.get(fingerprint, counted_at), counted_at
+        )
+        self._evict_suspects()
+
     def _record_crash_id(self, crash_id: int) -> None:
         self._crash_ids[crash_id] = None
         while len(self._crash_ids) > MAX_CRASH_IDS:
--- a/medlardoor/quarantine/objects.py
+++ b/medlardoor/quarantine/objects.py
@@ -1,12 +1,14 @@
 """Platform object ``quarantine/<service>``."""
 
+from collections import abc
+
 import pydantic
 import result
 
 from medlardoor import errors
 from medlardoor.quarantine import fingerprints
 
-__all__ = ["QuarantineObject", "parse"]
+__all__ = ["QuarantineObject", "covers", "encode", "parse"]
 
 MAX_ENTRIES = 10_000
 
@@ -65,3 +67,33 @@
             for item in error.errors()
         )
         return result.Err(errors.InvalidInput("quarantine object", faults))
+
+
+def encode(quarantined: abc.Mapping[bytes, float], now: float) -> bytes:
+    """Encodes the value of the platform object.
+
+    Args:
+        quarantined: End of each quarantine by fingerprint, in seconds.
+        now: Clock of the ends, in seconds.
+    """
+    remaining = {
+        fingerprint.hex(): round(end - now, 3)
+        for fingerprint, end in quarantined.items()
+    }
+    return QuarantineObject(remaining_s=remaining).model_dump_json().encode()
+
+
+def covers(value: bytes, quarantined: abc.Collection[bytes]) -> bool:
+    """Whether an object contains all fingerprints.
+
+    Args:
+        value: Value of the platform object; empty if there is no object.
+        quarantined: The fingerprints.
+    """
+    if not quarantined:
+        return True
+    parsed = parse(value)
+    if parsed.is_err():
+        return False
+    stored = parsed.unwrap().remaining_s
+    return all(fingerprint.hex() in stored for fingerprint in quarantined)
--- a/medlardoor/quarantine/tests/test_controller.py
+++ b/medlardoor/quarantine/tests/test_controller.py
@@ -4,8 +4,14 @@
 
 from medlardoor import errors
 from medlardoor.blackboard import board as board_module
-from medlardoor.quarantine import answers, controller, fingerprints
+from medlardoor.quarantine import (
+    answers,
+    controller,
+    fingerprints,
+    handover,
+)
 from medlardoor.quarantine import settings as settings_module
+from medlardoor.wire import frames
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 SETTINGS = settings_module.QuarantineSettings(max_suspects=4)
@@ -188,6 +194,89 @@
     assert peer.check(CRASHING, 3_650.0) == controller.Allowed()
 
 
+def test_handover_keeps_suspicions():
+    """A restart of a node forgot the crashes of a request."""
+    quarantine, restarted = _controller(), _controller("b")
+    for now in (0.0, 10.0):
+        report = _crash(quarantine, now, CRASHING)
+    restarted.receive_update(_relay(quarantine.to_update(20.0)), 1_020.0)
+    # Told of the second crash by its origin too, later.
+    assert not restarted.receive_crash_report(report, 1_021.0)
+    assert restarted._topic.suspects == {CRASHING: 2}
+    _crash(restarted, 1_030.0, CRASHING)
+    assert isinstance(
+        restarted.check(CRASHING, 1_031.0), controller.Quarantined
+    )
+
+
+def test_handover_does_not_prolong_suspicion():
+    """Nodes that told each other of suspicions renewed them for ever."""
+    quarantine, peer = _controller(), _controller("b")
+    _crash(quarantine, 0.0, CRASHING)
+    for now in (100.0, 300.0, 500.0):
+        peer.receive_update(quarantine.to_update(now), now)
+        quarantine.receive_update(peer.to_update(now), now)
+    assert isinstance(peer.check(CRASHING, 599.0), controller.Suspect)
+    for node in (quarantine, peer):
+        assert node.check(CRASHING, 601.0) == controller.Allowed()
+        assert node.to_update(601.0) is None
+    peer.receive_update(
+        ttypes.QuarantineUpdate(
+            "order",
+            [],
+            [],
+            remaining_ms=[],
+            suspects=[ttypes.Suspicion(CRASHING, 1, 600_000)],
+        ),
+        700.0,
+    )
+    assert peer.check(CRASHING, 700.0) == controller.Allowed()
+
+
+def test_malformed_suspicions_of_a_handover_are_left_out():
+    """One malformed suspicion kept a node from learning of the others."""
+    quarantine = _controller()
+    suspicions = [
+        ttypes.Suspicion(b"short", 1, 0),
+        ttypes.Suspicion(_fingerprint(1), 1, None),
+        ttypes.Suspicion(_fingerprint(2), None, 0),
+        ttypes.Suspicion(_fingerprint(3), 1, -1),
+        ttypes.Suspicion(None, 1, 0),
+        ttypes.Suspicion(CRASHING, 9, 0),
+    ]
+    update = ttypes.QuarantineUpdate(
+        "order", [], [], remaining_ms=[], suspects=suspicions
+    )
+    quarantine.receive_update(_relay(update), 0.0)
+    assert quarantine._topic.suspects == {CRASHING: 2}
+    assert not quarantine._topic.quarantined
+
+
+def test_handover_stays_small():
+    """A node that starts was flooded with suspicions of all its peers."""
+    settings = settings_module.QuarantineSettings()
+    quarantine = _controller(settings=settings)
+    for number in range(0, 500, 50):
+        _crash(
+            quarantine,
+            float(number),
+            CRASHING,
+            *(_fingerprint(number + i) for i in range(50)),
+        )
+        quarantine.started(0, _fingerprint(number), number)
+    update = quarantine.to_update(500.0)
+    assert len(update.suspects) <= handover.MAX_SUSPICIONS
+    frame = ttypes.Frame(quarantine_update=update)
+    assert len(frames.encode_frame(frame)) < 2_000
+
+
+def _relay(update):
+    frame = ttypes.Frame(quarantine_update=update)
+    reader = frames.FrameReader(1_000_000)
+    (received,) = reader.feed(frames.encode_frame(frame)).unwrap()
+    return received.quarantine_update
+
+
 def test_handover_does_not_prolong_quarantine():
     """Nodes that tell each other at each start renew quarantines forever."""
     quarantine, peer = _controller(), _controller("b")
--- a/medlardoor/wire/medlardoor.thrift
+++ b/medlardoor/wire/medlardoor.thrift
@@ -43,11 +43,19 @@
   4: list<binary> fingerprints,
 }
 
+struct Suspicion {
+  1: binary fingerprint,
+  2: i32 crashes,
+  3: i32 age_ms,               // Time since the last crash.
+}
+
 struct QuarantineUpdate {
   1: string service_name,
   2: list<binary> quarantined,
   3: list<binary> cleared,
   4: list<i32> remaining_ms,   // Of each quarantined one; absent: all of it.
+  5: list<Suspicion> suspects, // Only to a node that may not know of them.
+  6: list<i64> crash_ids,      // Crashes that the suspicions include.
 }
 
 union Message {
