Check numbers from outside against the range of messages between nodes

Cause: numbers in heartbeats, load headers, documents, stored objects and deadline headers were checked for their sign only. Messages between nodes carry 32 and 64 bit integers, and the encoder raised at the sender: with one report of too many slots a node could not send its status to any other node, and new links to it failed. A deadline of 400 digits raised too, and the caller's connection was closed without a response.

Change: wire/ranges.py states the ranges, and each border checks them.

Before: test_response_with_a_load_out_of_range_leaves_the_node_linked ends with OverflowError while the status is encoded, and 19 further new cases fail. After: all pass.

Ruled out: unpaired surrogates (refused by the JSON decoder); named limits, content lengths and chunk sizes of 5,000 digits (bounded before).

--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -355,8 +355,9 @@
             if name == self._attempt_header:
                 attempt_id = value
             elif name in dropped_headers:
-                if name == self._deadline_header and value.strip().isdigit():
-                    remaining_s = min(remaining_s, int(value) / 1_000)
+                if name == self._deadline_header:
+                    limit_s = http_messages.parse_milliseconds(value)
+                    remaining_s = min(remaining_s, limit_s)
                 continue
             lines += (name, b": ", value, b"\r\n")
         if request.body or request.method not in _METHODS_WITHOUT_BODY:
--- a/medlardoor/mesh/http_messages.py
+++ b/medlardoor/mesh/http_messages.py
@@ -1,9 +1,11 @@
 """Encoding and parsing of HTTP/1.1 messages for callers and upstreams."""
 
 import http
+import math
 import re
 
 from medlardoor.calls import exchange
+from medlardoor.wire import ranges
 
 __all__ = [
     "CONNECTION_HEADERS",
@@ -13,6 +15,7 @@
     "parse_keep_alive_s",
     "reason_phrase",
     "parse_load_slots",
+    "parse_milliseconds",
 ]
 
 
@@ -23,6 +26,9 @@
 # A decimal number without a sign or an exponent, of bounded length.
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
+# A decimal number that can be converted to a float without loss or error.
+_MILLISECONDS = re.compile(rb"[0-9]{1,15}")
+
 _PHRASES = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
 
@@ -67,6 +73,20 @@
     return float(value)
 
 
+def parse_milliseconds(value: bytes) -> float:
+    """Returns a time in milliseconds as seconds.
+
+    Args:
+        value: Decimal digits.
+
+    Returns:
+        The time; infinity if the digits are invalid or too many for a clock.
+    """
+    if _MILLISECONDS.fullmatch(value.strip()) is None:
+        return math.inf
+    return int(value) / 1_000
+
+
 def parse_load_slots(load: bytes) -> int:
     """Returns the number of slots in an upstream's load report.
 
@@ -75,10 +95,10 @@
             by commas.
 
     Returns:
-        The number of slots; 0 if the report is invalid.
+        The number of slots; 0 if the report is invalid or out of range.
     """
     try:
         _, _, slots = (int(part) for part in load.split(b","))
     except ValueError:
         return 0
-    return slots
+    return slots if slots <= ranges.MAX_COUNT else 0
--- a/medlardoor/mesh/presence.py
+++ b/medlardoor/mesh/presence.py
@@ -13,6 +13,7 @@
 from medlardoor.mesh import settings as settings_module
 from medlardoor.mesh import supervision
 from medlardoor.store import client
+from medlardoor.wire import ranges
 
 __all__ = ["InstanceObject", "Presence"]
 
@@ -57,7 +58,7 @@
     service: str
     failure_domain: str
     left_id: str = ""
-    left_born_ms: int = 0
+    left_born_ms: int = pydantic.Field(default=0, le=ranges.MAX_SEQUENCE)
 
     @pydantic.field_validator("host")
     @classmethod
--- a/medlardoor/platform/documents.py
+++ b/medlardoor/platform/documents.py
@@ -12,6 +12,7 @@
 from medlardoor.mesh import documents
 from medlardoor.platform import names, settings
 from medlardoor.teams import keys
+from medlardoor.wire import ranges
 
 __all__ = ["ConfigDecoder"]
 
@@ -20,13 +21,19 @@
 _KNOWN_KINDS = frozenset({_IDEMPOTENT_KIND, "unsafe", "upload"})
 
 
+_Priority = typing.Annotated[
+    int, pydantic.Field(ge=-ranges.MAX_PRIORITY, le=ranges.MAX_PRIORITY)
+]
+_Amount = typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+
+
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
 
 class _Part(_Model):
     service: str
-    weight: float = pydantic.Field(ge=0)
+    weight: _Amount
 
 
 class _Action(_Model):
@@ -56,7 +63,7 @@
     kind: str
     # Time within which a response earns its full value.
     targetLatency: settings.Duration  # noqa: N815
-    priority: int
+    priority: _Priority
     # Whether requests carry no key.
     public: bool = False
     match: _Match
@@ -88,9 +95,9 @@
     # It is sent to upstreams in a header and is a label of metrics.
     name: str = pydantic.Field(pattern=r"^[!#-\[\]-~]{1,128}$")
     apiKeys: tuple[str, ...] = ()  # noqa: N815
-    priority: int | None = None
-    ratePerS: float = pydantic.Field(default=0.0, ge=0)  # noqa: N815
-    burst: float = pydantic.Field(default=0.0, ge=0)
+    priority: _Priority | None = None
+    ratePerS: _Amount = 0.0  # noqa: N815
+    burst: _Amount = 0.0
 
     @pydantic.field_validator("apiKeys")
     @classmethod
@@ -101,7 +108,9 @@
 
 
 class _Config(_Model):
-    version: int
+    version: int = pydantic.Field(
+        ge=-ranges.MAX_SEQUENCE, le=ranges.MAX_SEQUENCE
+    )
     tenants: tuple[_Tenant, ...] | None = None
     listeners: tuple[_Listener, ...]
     clusters: tuple[_Cluster, ...] = ()
--- a/medlardoor/platform/heartbeats.py
+++ b/medlardoor/platform/heartbeats.py
@@ -11,6 +11,7 @@
 from medlardoor.mesh import handlers, observing
 from medlardoor.mesh import settings as mesh_settings
 from medlardoor.platform import names, settings
+from medlardoor.wire import ranges
 
 __all__ = ["HeartbeatHandler"]
 
@@ -27,18 +28,18 @@
 
     service: str
     address: str
-    slots: int = pydantic.Field(ge=0)
+    slots: int = pydantic.Field(ge=0, le=ranges.MAX_COUNT)
     state: typing.Literal["ready", "draining"]
     coldLeft: str = "0ms"  # noqa: N815
-    sequence: int = pydantic.Field(ge=0)
+    sequence: int = pydantic.Field(ge=0, le=ranges.MAX_SEQUENCE)
     # Start of the upstream, in milliseconds of Unix time.
-    born: int = pydantic.Field(default=0, ge=0)
+    born: int = pydantic.Field(default=0, ge=0, le=ranges.MAX_SEQUENCE)
 
 
 class _Leave(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
-    born: int = pydantic.Field(default=0, ge=0)
+    born: int = pydantic.Field(default=0, ge=0, le=ranges.MAX_SEQUENCE)
 
 
 class HeartbeatHandler(observing.InternalHandler):
--- a/medlardoor/platform/settings.py
+++ b/medlardoor/platform/settings.py
@@ -13,6 +13,7 @@
 from medlardoor.platform import names
 from medlardoor.retries import shares
 from medlardoor.routing import placement
+from medlardoor.wire import ranges
 
 __all__ = ["PlatformSettings", "durations_s", "load", "parse", "to_mesh"]
 
@@ -44,12 +45,16 @@
     """Converts a time such as ``1500ms`` or ``2.5s`` to seconds.
 
     Raises:
-        ValueError: The text is not a number with a unit.
+        ValueError: The text is not a number with a unit, or the time is longer
+            than messages between nodes can carry.
     """
     for unit, factor in _UNITS_S.items():
         number = value.removesuffix(unit)
         if number != value and number.replace(".", "", 1).isdigit():
-            return float(number) * factor
+            duration_s = float(number) * factor
+            if duration_s > ranges.MAX_DURATION_S:
+                raise ValueError(f"at most {ranges.MAX_DURATION_S:.0f}s")
+            return duration_s
     raise ValueError("a number followed by ms or s")
 
 
