--- a/medlardoor/cli/soak.py
+++ b/medlardoor/cli/soak.py
@@ -33,6 +33,9 @@
         helpers.option(
             "minutes", None, "Length of a run.", flag=False, default="1"
         ),
+        helpers.option(
+            "crashes", None, "Send requests that crash upstreams.", flag=True
+        ),
         helpers.option(
             "build",
             None,
@@ -65,6 +68,7 @@
                 directory,
                 has_returns=True,
                 has_late_copies=True,
+                has_crashing_request=bool(self.option("crashes")),
                 build=None if build is None else pathlib.Path(build).resolve(),
             )
         )
--- a/medlardoor/soak/evidence.py
+++ b/medlardoor/soak/evidence.py
@@ -60,6 +60,7 @@
     LIMIT = "limit of a team over all nodes"
     NAMED_LIMIT = "limit that an upstream names"
     EXIT = "no process ends by itself"
+    QUARANTINE = "a request that crashes upstreams is kept out"
 
 
 class Ledger:
--- a/medlardoor/soak/run.py
+++ b/medlardoor/soak/run.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from medlardoor.soak import documents, evidence, faults, world
+from medlardoor.soak import crashing, documents, evidence, faults, world
 
 __all__ = ["Report", "run"]
 
@@ -49,6 +49,7 @@
     *,
     has_returns: bool = False,
     has_late_copies: bool = False,
+    has_crashing_request: bool = False,
     build: pathlib.Path | None = None,
 ) -> Report:
     """Runs the system with faults.
@@ -59,6 +60,7 @@
         directory: Where settings and logs are written.
         has_returns: Whether the store returns from older copies.
         has_late_copies: Whether upstreams shed and repeat answers late.
+        has_crashing_request: Whether a request that crashes upstreams is sent.
         build: Sources of the nodes; None for those of the soak.
     """
     generator = random.Random(seed)
@@ -92,6 +94,10 @@
             if has_late_copies:
                 copies = random.Random(f"late copies {seed}")
                 group.start_soon(series.repeat_answers, until_s, copies)
+            if has_crashing_request:
+                draws = random.Random(f"crashing {seed}")
+                trouble = crashing.CrashingRequest(made, draws, series.log)
+                group.start_soon(trouble.run, until_s)
             await series.run(until_s)
             await anyio.sleep(RECOVER_S)
             for _ in range(MAX_OBSERVATIONS):
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -91,6 +91,9 @@
         self.named_limit: float | None = None
         # Requests that have reached it, over all its starts.
         self.arrivals = 0
+        # Target of requests that crash it, and how many have done so.
+        self.crashes_on = b""
+        self.request_crashes = 0
 
     @property
     def is_running(self) -> bool:
@@ -183,6 +186,10 @@
             (request.header(names.HEADERS.team.lower()) or b"").decode(),
             request.header(names.HEADERS.credentials.lower()) is not None,
         )
+        if request.target == self.crashes_on:
+            self.request_crashes += 1
+            self.crash()
+            return None
         running = _Running(self, attempt, request, reply, connection)
         self._running.add(running)
         work_s = self._generator.expovariate(1 / 0.03) * fault.slow
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,3 +45,14 @@
     )
     assert report.findings == (), "\n".join(report.faults)
     assert any("repeat_answers" in line for line in report.faults)
+
+
+def test_crashing_request_is_kept_out_over_restarts(tmp_path):
+    """A crashing request was sent on and on in a quiet hour, over restarts."""
+    report = anyio.run(
+        functools.partial(
+            run.run, 4611, 0.4, tmp_path, has_crashing_request=True
+        )
+    )
+    assert report.findings == (), "\n".join(report.faults)
+    assert any("crashes by /order" in line for line in report.faults)
