--- a/medlardoor/mesh/presence.py
+++ b/medlardoor/mesh/presence.py
@@ -58,7 +58,7 @@
     service: str
     failure_domain: str
     left_id: str = ""
-    left_born_ms: int = pydantic.Field(default=0, le=ranges.MAX_SEQUENCE)
+    left_born_ms: int = pydantic.Field(default=0, ge=0, le=ranges.MAX_SEQUENCE)
 
     @pydantic.field_validator("host")
     @classmethod
--- a/medlardoor/mesh/tests/test_number_ranges.py
+++ b/medlardoor/mesh/tests/test_number_ranges.py
@@ -25,7 +25,8 @@
         assert other.node.usable_nodes == 3
 
 
-async def test_stored_departure_out_of_range_is_skipped():
+@pytest.mark.parametrize("born_ms", [-1, 10**30])
+async def test_stored_departure_out_of_range_is_skipped(born_ms):
     """The stored object of a node held a time that no message can carry."""
     value = {
         "host": "10.1.0.1",
@@ -33,7 +34,7 @@
         "service": "s",
         "failure_domain": "d",
         "left_id": "i-7",
-        "left_born_ms": 10**30,
+        "left_born_ms": born_ms,
     }
     stored = client.StoredObject("instances/x", json.dumps(value).encode(), 1)
     assert presence._parse(stored) is None
--- a/medlardoor/store/http.py
+++ b/medlardoor/store/http.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's object API."""
 
+import re
 import urllib.parse
 
 import httpcore
@@ -21,6 +22,10 @@
 _MAX_LIST_BYTES = 8 * client.MAX_VALUE_BYTES
 
 
+# A number that messages between nodes can carry.
+_VERSION = re.compile(rb'"*[0-9]{1,18}"*')
+
+
 class _ListedObject(pydantic.BaseModel):
     key: str
     version: int
@@ -158,11 +163,11 @@
     key: str, response: httpcore.Response
 ) -> result.Result[int, errors.StoreUnavailable]:
     for name, value in response.headers:
-        if name.lower() == b"etag" and value.strip(b'"').isdigit():
+        if name.lower() == b"etag" and _VERSION.fullmatch(value):
             return result.Ok(int(value.strip(b'"')))
     return result.Err(
         errors.StoreUnavailable(
-            key, "response has no ETag header with a version number"
+            key, "response has no ETag header with a valid version number"
         )
     )
 
