Count unreadable objects of the store in the metrics

Cause: objects that were left out were only logged, so nobody saw from the metrics that a store holds some.

Change: medlardoor_store_objects_unreadable_total; an object counts again when it has changed. The field `unreadable` of the log is the same number; it was the size of a bounded table before.

--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -393,7 +393,7 @@
             {
                 "document_revision": self._holder.revision,
                 "document_version": self._holder.version.number,
-                "store_era": self._era.current or 0,
+                **self._era.gauges,
                 "buffered_bytes": self._buffers.used_bytes,
             },
             self._lending.shares(),
--- a/medlardoor/mesh/store_era.py
+++ b/medlardoor/mesh/store_era.py
@@ -32,6 +32,14 @@
         """Highest era heard of; None without any, or in a store without."""
         return self._current
 
+    @property
+    def gauges(self) -> dict[str, int]:
+        """What metrics show of the store, by name."""
+        return {
+            "store_era": self._current or 0,
+            "store_objects_unreadable_total": self._store.unreadable_objects,
+        }
+
     def listen(self, listener: collections.abc.Callable[[], None]) -> None:
         """Registers a function to call after each return of the store."""
         self._listeners.append(listener)
--- a/medlardoor/platform/objects.py
+++ b/medlardoor/platform/objects.py
@@ -76,6 +76,12 @@
     def __init__(self):
         # Text of the unreadable objects that were logged, as a hash, by name.
         self._logged: dict[tuple[str, str], int] = {}
+        self._unreadable_count = 0
+
+    @property
+    def unreadable_count(self) -> int:
+        """Number of unreadable objects; one counts again when it changes."""
+        return self._unreadable_count
 
     def parse_object(self, text: bytes) -> _Parsed[Object]:
         """Parses one object; an unreadable ``spec`` counts as absent."""
@@ -137,6 +143,7 @@
         if len(self._logged) >= _MAX_LOGGED:
             del self._logged[next(iter(self._logged))]
         self._logged[identity] = text_hash
+        self._unreadable_count += 1
         logs.log_event(
             _LOG,
             logbook.WARNING,
@@ -144,7 +151,7 @@
             key=key,
             name=item.name,
             reason=reason,
-            unreadable=len(self._logged),
+            unreadable=self._unreadable_count,
         )
 
 
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -68,6 +68,11 @@
         """Highest era in an answer of the store; see `ObjectStore`."""
         return self._era
 
+    @property
+    def unreadable_objects(self) -> int:
+        """Number of unreadable objects; see `ObjectStore`."""
+        return self._objects.unreadable_count
+
     async def aclose(self) -> None:
         """Closes all connections."""
         await self._caller.aclose()
--- a/medlardoor/platform/tests/test_unreadable_objects.py
+++ b/medlardoor/platform/tests/test_unreadable_objects.py
@@ -45,6 +45,12 @@
         "instances/b",
         "instances/c",
     ]
+    # The same object counts again only when it has changed.
+    await client.list("instances/")
+    assert client.unreadable_objects == 1
+    standin.put("instances", "bad", spec)
+    await client.list("instances/")
+    assert client.unreadable_objects == 2
 
 
 @pytest.mark.parametrize("spec", UNREADABLE)
--- a/medlardoor/store/client.py
+++ b/medlardoor/store/client.py
@@ -40,6 +40,14 @@
         """Highest era in an answer of the store; None if none had one."""
         return None
 
+    @property
+    def unreadable_objects(self) -> int:
+        """Number of unreadable objects that were left out of answers.
+
+        An object counts again when it has changed.
+        """
+        return 0
+
     @abc.abstractmethod
     async def read(
         self, key: str
