--- a/medlardoor/mesh/tests/test_server_connection.py
+++ b/medlardoor/mesh/tests/test_server_connection.py
@@ -17,6 +17,7 @@
         self.aborted = False
         self.paused = False
         self.ended = False
+        self.unsent = 0
 
     def write(self, data):
         self.written += data
@@ -34,7 +35,7 @@
         return None
 
     def get_write_buffer_size(self):
-        return 0
+        return self.unsent
 
     def pause_reading(self):
         self.paused = True
@@ -266,6 +267,44 @@
     run(check)
 
 
+def test_slow_request_body_times_out(run):
+    """A body whose bytes stop coming held its connection for ever."""
+
+    async def check(client):
+        now = asyncio.get_running_loop().time()
+        client.send(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab"
+        )
+        client.connection.check_timeouts(now + 3.5)
+        assert not client.transport.closed
+        client.connection.check_timeouts(now + 4.5)
+        assert b" 408 " in client.transport.written
+        assert client.transport.closed
+        client.connection.connection_lost(None)
+        assert client.buffers.used_bytes == 0
+
+    run(check)
+
+
+def test_unread_response_times_out(run):
+    """A response that the caller stops reading was kept for ever."""
+
+    async def check(client):
+        now = asyncio.get_running_loop().time()
+        client.send(GET)
+        client.reply()
+        for progress in range(1, 4):
+            client.transport.unsent = 10 - progress
+            client.connection.check_timeouts(now + 3.0 * progress)
+        assert not client.transport.aborted
+        client.connection.check_timeouts(now + 12.5)
+        assert not client.transport.aborted
+        client.connection.check_timeouts(now + 13.5)
+        assert client.transport.aborted
+
+    run(check)
+
+
 def test_idle_connection_is_closed_after_its_timeout(run):
     """An idle connection is closed after its timeout, and not earlier.
 
--- a/medlardoor/mesh/tests/test_upstream_pool.py
+++ b/medlardoor/mesh/tests/test_upstream_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import anyio
 import pytest
 
 from medlardoor.admission import buffers
@@ -65,9 +66,25 @@
     assert (connected, failed) == ([], [("ConnectionResetError", False)])
 
 
-def _make_pool():
+async def test_connection_that_never_opens_fails_in_time(monkeypatch):
+    """A request waited for an upstream whose machine does not answer."""
+
+    async def create_connection(factory, host, port):
+        await anyio.sleep_forever()
+
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(loop, "create_connection", create_connection)
+    connected, failed = [], []
+    with anyio.fail_after(1.0):
+        await _make_pool(connect_timeout_s=0.05).connect(
+            connected.append, lambda *outcome: failed.append(outcome)
+        )
+    assert (connected, failed) == ([], [("TimeoutError", False)])
+
+
+def _make_pool(**changes):
     return upstream_pool.UpstreamPool(
-        settings.UpstreamSettings(),
+        settings.UpstreamSettings(**changes),
         settings.Address("127.0.0.1", 1),
         b"x-attempt",
         buffers.BufferBudget(1_000),
