Soak: end crashing requests when the faults end

The last series of crashing requests went on, with its planned stops, while the recovery is judged. It ends with the other faults now, and upstreams no longer crash on its target.

--- a/medlardoor/soak/crashing.py
+++ b/medlardoor/soak/crashing.py
@@ -59,9 +59,11 @@
         number = 0
         while self._world.ledger.now_s < until_s:
             number += 1
-            await self._send_often(f"/{self._kind.name}/crash-{number}")
+            await self._send_often(
+                f"/{self._kind.name}/crash-{number}", until_s
+            )
 
-    async def _send_often(self, target: str) -> None:
+    async def _send_often(self, target: str, until_s: float) -> None:
         upstreams = [member.upstream for member in self._affected]
         for upstream in upstreams:
             upstream.crashes_on = target.encode()
@@ -70,6 +72,8 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._restart_upstreams)
             for number in range(SENDS):
+                if self._world.ledger.now_s >= until_s:
+                    break
                 await self._send(target, f"{target[1:]}-{number}")
                 if number % 3 == 2:
                     member = self._generator.choice(self._affected)
@@ -80,12 +84,15 @@
                     self._generator.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)
                 )
             group.cancel_scope.cancel()
-        crashes = sum(upstream.request_crashes for upstream in upstreams)
+        crashes = 0
+        for upstream in upstreams:
+            upstream.crashes_on = b""
+            crashes += upstream.request_crashes
         self._note(f"{crashes} crashes by {target}")
         if crashes > MAX_CRASHES:
             self._world.ledger.report(
                 evidence.Promise.QUARANTINE,
-                f"{target} crashed {crashes} upstreams, sent {SENDS} times",
+                f"{target} crashed {crashes} upstreams",
             )
 
     async def _send(self, target: str, attempt: str) -> None:
