--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -498,10 +498,10 @@
                     await asyncio.sleep(1.0)
                     self.start_node()
 
-    async def is_ready(self):
+    async def is_ready(self, timeout_s=1.0):
         """Whether the node answers its readiness question with 200."""
         try:
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(timeout_s):
                 answer = await exchange(
                     self.ip,
                     self.port("ready"),
