Let an error of a review script count as not run

Cause: an exception of the script itself would end it with the status of a broken rule. Change: any such error ends it with 2, and a SIGTERM ends its processes too.

--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -21,6 +21,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -770,10 +771,13 @@
 def main(case, folder):
     """Runs a case; the exit status is 1 if it says that a rule was broken."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A script that is ended still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(trouble), 115))
-    except (CannotRun, TimeoutError) as error:
-        sys.stdout.write(f"could not run: {error!r}\n")
+    except Exception:  # noqa: BLE001
+        # Any error of the script itself says nothing of the rule.
+        traceback.print_exc()
         sys.exit(2)
     sys.stdout.write(f"broken: {broken}\n" if broken else "held\n")
     sys.exit(1 if broken else 0)
