Close connections in two steps, so that responses are not cut

Cause: the node closed the socket in the step in which it wrote the last response. A further request of the client meets a closed socket, the kernel answers with a reset and drops what it has not delivered (RFC 9112, 9.6). Ruled out by the record of the case: the process does not end too early (the connections end 1.35 s after the signal), and the node writes all responses.

Change: the sending side ends first, received data is read and dropped, and the socket is closed when the client has ended its side, or 2 s after the kernel of the client has acknowledged everything. This serves all closes of mesh/server_connection on which the client may still send. A planned stop waits for these connections within its grace time. They are the first to be replaced when descriptors run out.

Tests changed: the fake transport models a client that ends its side when the other one has ended, so "closed" still means that the client saw the end at once; nothing may be written afterwards. test_body_beyond_the_buffer_space keeps its bound with a client that does not end its side. test_one_line_for_each_reason_and_interval shared the rate limit of log lines with the tests before it, and failed behind the new file in one run; it has a limiter of its own now.

--- a/medlardoor/admission/connection_budget.py
+++ b/medlardoor/admission/connection_budget.py
@@ -5,6 +5,7 @@
 connections shows it.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import enum
@@ -143,10 +144,12 @@
         self._buffer_bytes = buffer_bytes
         self._groups: dict[collections.abc.Hashable, ConnectionGroup] = {}
         self._open = dict.fromkeys(ConnectionGroup, 0)
-        # Idle connections in the order in which they have become idle.
+        # Idle connections in the order in which they are replaced: those that
+        # wait to be closed, then the longest idle first.
         self._idle: dict[
-            ConnectionGroup, dict[collections.abc.Hashable, None]
-        ] = {group: {} for group in ConnectionGroup}
+            ConnectionGroup,
+            collections.OrderedDict[collections.abc.Hashable, None],
+        ] = {group: collections.OrderedDict() for group in ConnectionGroup}
         self._heads: dict[collections.abc.Hashable, _Head] = {}
         self._head_bytes = 0
         self._backlogs: dict[collections.abc.Hashable, _Backlog] = {}
@@ -223,6 +226,14 @@
             idle.pop(connection, None)
             idle[connection] = None
 
+    def awaits_close(self, connection: collections.abc.Hashable) -> None:
+        """Notes that all answers were delivered and none will follow."""
+        group = self._groups.get(connection)
+        if group is not None:
+            idle = self._idle[group]
+            idle[connection] = None
+            idle.move_to_end(connection, last=False)
+
     def head_received(
         self, connection: collections.abc.Hashable, held_bytes: int, now: float
     ) -> list[Closing]:
--- a/medlardoor/admission/tests/test_connection_budget.py
+++ b/medlardoor/admission/tests/test_connection_budget.py
@@ -47,6 +47,20 @@
     assert budget.open_connections(Group.CALLERS) == LIMIT
 
 
+def test_connection_that_awaits_its_close_is_replaced_first(budget):
+    """A connection in use is closed while an ended one holds a descriptor."""
+    for key in range(LIMIT):
+        budget.opened(key, Group.CALLERS)
+    budget.became_busy(3)
+    budget.awaits_close(3)
+    budget.awaits_close(3)
+    closings = budget.opened("new", Group.CALLERS)
+    assert closings == [connection_budget.Closing(3, Reason.IDLE_REPLACED)]
+    budget.closed(3)
+    budget.awaits_close(3)
+    assert _keys(budget.opened("newer", Group.CALLERS)) == [0]
+
+
 def test_new_connection_is_refused_if_none_is_idle(budget):
     """A request in progress is cut for a new connection."""
     for key in range(LIMIT):
--- a/medlardoor/logs.py
+++ b/medlardoor/logs.py
@@ -4,6 +4,7 @@
 import json
 import os
 import sys
+import traceback
 import typing
 
 import anyio
@@ -14,6 +15,7 @@
     "JsonLinesHandler",
     "RepeatLimiter",
     "log_event",
+    "log_exception",
     "log_request",
     "set_up",
 ]
@@ -172,6 +174,27 @@
     _log(_LIMITER, logger, level, event, fields)
 
 
+def log_exception(
+    logger: logbook.Logger, event: str, error: Exception, **fields: object
+) -> None:
+    """Writes an event about an unexpected exception, with its traceback.
+
+    Args:
+        logger: Logger of the channel.
+        event: Name of the event in snake case.
+        error: The exception.
+        **fields: Further members of the JSON object.
+    """
+    log_event(
+        logger,
+        logbook.ERROR,
+        event,
+        **fields,
+        error=repr(error),
+        traceback="".join(traceback.format_exception(error)),
+    )
+
+
 def log_request(
     logger: logbook.Logger, level: int, event: str, **fields: object
 ) -> None:
--- a/medlardoor/mesh/connection_guard.py
+++ b/medlardoor/mesh/connection_guard.py
@@ -95,6 +95,10 @@
         """Notes that no request is left."""
         self._budget.became_idle(connection)
 
+    def awaits_close(self, connection: GuardedConnection) -> None:
+        """Notes that only the client's end is missing on a connection."""
+        self._budget.awaits_close(connection)
+
     def head_ended(self, connection: GuardedConnection) -> None:
         """Notes that a head is whole or was dropped."""
         self._budget.head_ended(connection)
--- a/medlardoor/mesh/links.py
+++ b/medlardoor/mesh/links.py
@@ -8,7 +8,6 @@
 import abc
 import asyncio
 import socket
-import traceback
 
 import logbook
 
@@ -124,13 +123,7 @@
         try:
             self._events.frame_received(self, frame)
         except Exception as error:  # noqa: BLE001
-            logs.log_event(
-                _LOG,
-                logbook.ERROR,
-                "frame_failed",
-                error=repr(error),
-                traceback="".join(traceback.format_exception(error)),
-            )
+            logs.log_exception(_LOG, "frame_failed", error)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports the end of the connection."""
--- a/medlardoor/mesh/listening.py
+++ b/medlardoor/mesh/listening.py
@@ -75,9 +75,9 @@
         return self._guard
 
     @property
-    def has_unsent_bytes(self) -> bool:
-        """Whether a part of a response is not sent yet."""
-        return any(c.has_unsent_bytes for c in self._connections)
+    def has_unread_responses(self) -> bool:
+        """Whether a client may not have received all of a response yet."""
+        return any(c.has_unread_responses for c in self._connections)
 
     async def open(
         self,
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -290,7 +290,7 @@
             or admission_queue.waiting
         ):
             return True
-        return self._listeners.has_unsent_bytes
+        return self._listeners.has_unread_responses
 
     async def _sweep(self) -> None:
         """Enforces time limits of connections and publishes rank changes.
--- a/medlardoor/mesh/server_connection.py
+++ b/medlardoor/mesh/server_connection.py
@@ -1,12 +1,12 @@
 """Server side of HTTP/1.1 connections, without streaming of bodies."""
 
 import asyncio
+import http
 import sys
-import traceback
 
 import logbook
 
-from medlardoor import logs
+from medlardoor import lingering, logs
 from medlardoor.admission import buffers as buffers_module
 from medlardoor.admission import connection_budget
 from medlardoor.mesh import (
@@ -23,19 +23,10 @@
 
 ClosingReason = connection_budget.ClosingReason
 
-REQUEST_TIMEOUT = 408
-HEAD_TOO_LARGE = 431
-SERVICE_UNAVAILABLE = 503
-
 # Number of requests without a response at which reading from the connection
 # pauses.
 MAX_PIPELINED_REQUESTS = 8
 
-# How long the connection stays open after a request was refused before the end
-# of its body. Closing it with unread bytes would reset it, and the client might
-# not receive the response.
-REFUSAL_LINGER_S = 2.0
-
 
 class ServerConnection(
     asyncio.Protocol,
@@ -75,15 +66,16 @@
         self._is_starting = False
         self._is_paused = False
         self._is_write_paused = False
-        # Error status of a rejected request, sent after earlier responses.
-        self._pending_error_status: int | None = None
+        # Response to a rejected request, sent after earlier responses.
+        self._last_response: handlers.Response | None = None
         # When the first byte of an unfinished request arrived, in seconds.
         self._request_began_at: float | None = None
         self._progress_at = self._loop.time()
         self._unsent_bytes = 0
         # Size of the responses that the unsent bytes belong to.
         self._held_bytes = 0
-        self._linger_until: float | None = None
+        # The close in progress, during which all received data is dropped.
+        self._lingering: lingering.LingeringClose | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -91,10 +83,19 @@
         return not len(self._pipeline) and self._request_began_at is None
 
     @property
-    def has_unsent_bytes(self) -> bool:
-        """Whether a part of a response is not sent yet."""
-        transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+    def has_unread_responses(self) -> bool:
+        """Whether the client may not have received all of a response yet."""
+        if self._transport is None:
+            return False
+        is_lingering = self._lingering is not None
+        return is_lingering or self._transport.get_write_buffer_size() > 0
+
+    @property
+    def _is_ending(self) -> bool:
+        """Whether nothing more may be sent on the connection."""
+        if self._transport is None or self._lingering is not None:
+            return True
+        return self._transport.is_closing()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Stores the transport of the new connection."""
@@ -135,13 +136,14 @@
         if reason is ClosingReason.HEADS_OVER_BUDGET:
             # The head may be within the limits of one request, and has not
             # been passed on: the client may send it again.
-            self.reject(SERVICE_UNAVAILABLE)
+            self.reject(http.HTTPStatus.SERVICE_UNAVAILABLE)
             return
         self._reader.stop()
         if self._transport is None:
             return
         is_idle = reason is ClosingReason.IDLE_REPLACED
-        if is_idle and not self.has_unsent_bytes:
+        if is_idle and not self._transport.get_write_buffer_size():
+            # Another connection needs the descriptor now.
             self._transport.close()
         else:
             self._transport.abort()
@@ -182,35 +184,31 @@
         if has_many_lines:
             reason = ClosingReason.HEAD_LINES
         self._guard.count(reason)
-        self.reject(HEAD_TOO_LARGE)
+        self.reject(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def reject(self, status: int) -> None:
         """Sends an error status and closes; see `ReaderEvents`."""
         self._reader.stop()
-        self._guard.head_ended(self)
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return
-        if len(self._pipeline):
-            self._pending_error_status = status
-            return
-        transport.write(
-            responses.encode_response(handlers.Response(status), closes=True)
-        )
-        transport.close()
+        self._end_with(handlers.Response(status))
 
     def request_refused(self, refusal: handlers.Response) -> None:
-        """Sends a refusal after earlier responses; see `ReaderEvents`."""
+        """Sends a refusal and closes; see `ReaderEvents`."""
+        if len(self._pipeline):
+            refusal = handlers.Response(refusal.status)
+        self._end_with(refusal)
+
+    def _end_with(self, response: handlers.Response) -> None:
+        """Sends a response after those of earlier requests, and closes."""
         self._guard.head_ended(self)
+        if self._is_ending:
+            return
         if len(self._pipeline):
-            # The responses of earlier requests are sent first. If one of them
-            # closes the connection, this request counts as not read.
-            self._pending_error_status = refusal.status
+            # If an earlier response closes the connection, the request of this
+            # one counts as not read.
+            self._last_response = response
             return
-        self._request_began_at = None
-        self._transport.write(responses.encode_response(refusal, closes=True))
-        self._transport.write_eof()
-        self._linger_until = self._loop.time() + REFUSAL_LINGER_S
+        self._transport.write(responses.encode_response(response, closes=True))
+        self._close()
 
     def _after_parsing(self) -> None:
         """Counts what is held, and pauses reading if it must."""
@@ -247,30 +245,45 @@
                 transport.abort()
             return
         self._update_unsent_bytes(0)
+        if self._lingering is not None:
+            self._lingering.check(limits.idle_timeout_s, now)
+            if self._lingering.is_delivered:
+                self._guard.awaits_close(self)
+            return
         if len(self._pipeline) or transport.is_closing():
             return
-        if self._linger_until is not None:
-            if now >= self._linger_until:
-                transport.close()
-        elif self._request_began_at is not None:
+        if self._request_began_at is not None:
             is_late = now - self._progress_at > limits.idle_timeout_s
             if self._reader.is_in_head:
                 is_late = now - self._request_began_at > limits.head_timeout_s
             if is_late:
                 if self._reader.is_in_head:
                     self._guard.count(ClosingReason.HEAD_TIMEOUT)
-                self.reject(REQUEST_TIMEOUT)
+                self.reject(http.HTTPStatus.REQUEST_TIMEOUT)
         elif now - self._progress_at > limits.idle_timeout_s:
-            transport.close()
+            self._close()
 
     def close_if_idle(self) -> None:
         """Closes the connection if it is idle."""
-        if self.is_idle and self._transport is not None:
-            self._reader.stop()
-            self._transport.close()
+        if self.is_idle:
+            self._close()
+
+    def _close(self) -> None:
+        """Ends sending; the client may still send and read until it closes."""
+        self._reader.stop()
+        if self._is_ending:
+            return
+        transport = self._transport
+        if self._is_paused:
+            # Unread data would reset the connection when it is closed.
+            self._is_paused = False
+            transport.resume_reading()
+        self._lingering = lingering.LingeringClose(transport, self._loop.time())
 
     def _start(self) -> None:
         """Passes the requests that may run now to the handler."""
+        if self._is_ending or not len(self._pipeline):
+            return
         self._is_starting = True
         try:
             self._pipeline.start()
@@ -281,13 +294,9 @@
             self._is_starting = False
         self._flush()
 
-    def _start_next(self) -> None:
-        if len(self._pipeline) and self._transport is not None:
-            self._start()
-
     def _flush(self) -> None:
         """Sends the available responses, in the order of the requests."""
-        if self._is_starting or self._transport is None:
+        if self._is_starting or self._is_ending:
             return
         while (exchange := self._pipeline.pop_answered()) is not None:
             self._progress_at = self._loop.time()
@@ -314,15 +323,14 @@
                     self._pipeline.clear()
                     return
             if closes:
-                self._reader.stop()
-                transport.close()
+                self._close()
                 self._pipeline.clear()
                 return
             if len(self._pipeline):
-                self._loop.call_soon(self._start_next)
+                self._loop.call_soon(self._start)
         if not len(self._pipeline):
-            if self._pending_error_status is not None:
-                self.reject(self._pending_error_status)
+            if self._last_response is not None:
+                self._end_with(self._last_response)
                 return
             self._send_continue()
             if self._request_began_at is None:
@@ -357,9 +365,7 @@
             or self._reader.has_unread
             or not self.takes_requests
         )
-        if must_pause is self._is_paused or self._transport is None:
-            return
-        if self._transport.is_closing():
+        if must_pause is self._is_paused or self._is_ending:
             return
         self._is_paused = must_pause
         if must_pause:
@@ -385,16 +391,9 @@
     def _abort_after_error(self, error: Exception) -> None:
         """Aborts the connection after an unexpected exception of the handler.
 
-        The request may or may not have been sent to an upstream, so any status
-        could be wrong.
+        The request may have been sent to an upstream or not: no status is true.
         """
-        logs.log_event(
-            _LOG,
-            logbook.ERROR,
-            "handler_failed",
-            error=repr(error),
-            traceback="".join(traceback.format_exception(error)),
-        )
+        logs.log_exception(_LOG, "handler_failed", error)
         self._reader.stop()
         if self._transport is not None:
             self._transport.abort()
--- a/medlardoor/mesh/supervision.py
+++ b/medlardoor/mesh/supervision.py
@@ -1,7 +1,6 @@
 """Supervision of tasks that must run as long as the process."""
 
 import collections.abc
-import traceback
 
 import anyio
 import logbook
@@ -33,12 +32,6 @@
             await task()
             return
         except Exception as error:  # noqa: BLE001
-            logs.log_event(
-                _LOG,
-                logbook.ERROR,
-                "task_failed",
-                task=getattr(task, "__qualname__", repr(task)),
-                error=repr(error),
-                traceback="".join(traceback.format_exception(error)),
-            )
+            name = getattr(task, "__qualname__", repr(task))
+            logs.log_exception(_LOG, "task_failed", error, task=name)
         await anyio.sleep(RESTART_PAUSE_S)
--- a/medlardoor/mesh/tests/test_body_memory.py
+++ b/medlardoor/mesh/tests/test_body_memory.py
@@ -34,7 +34,8 @@
     def abort(self):
         self.is_closed = True
 
-    close = abort
+    # The other side ends when this one does.
+    close = write_eof = abort
 
     def is_closing(self):
         return self.is_closed
--- a/medlardoor/mesh/tests/test_connection_guard.py
+++ b/medlardoor/mesh/tests/test_connection_guard.py
@@ -5,6 +5,7 @@
 import logbook
 import pytest
 
+from medlardoor import logs
 from medlardoor.admission import buffers, connection_budget
 from medlardoor.mesh import connection_guard
 
@@ -39,6 +40,8 @@
 
     async def main():
         clock = _Clock(monkeypatch)
+        # Lines of earlier tests would count for the limit of the process.
+        monkeypatch.setattr(logs, "_LIMITER", logs.RepeatLimiter())
         guard = _guard()
         with logbook.TestHandler() as log:
             for _ in range(100):
--- a/medlardoor/mesh/tests/test_pipeline.py
+++ b/medlardoor/mesh/tests/test_pipeline.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from medlardoor import lingering
 from medlardoor.mesh import server_connection
 from medlardoor.mesh.tests import test_server_connection
 
@@ -151,6 +152,7 @@
     """A body that exceeds the buffer space is refused before it is received."""
 
     async def check(client):
+        client.transport.ends_with_sending = False
         client.buffers.reserve_unchecked(4_000)
         now = asyncio.get_running_loop().time()
         client.send(
@@ -164,9 +166,7 @@
         assert not client.transport.closed
         client.send(b"b" * 2_000 + GET)
         assert client.handler.requests == []
-        client.connection.check_timeouts(
-            now + server_connection.REFUSAL_LINGER_S + 1.0
-        )
+        client.connection.check_timeouts(now + lingering.LINGER_S + 1.0)
         assert client.transport.closed
         assert client.buffers.used_bytes == 4_000
 
--- a/medlardoor/mesh/tests/test_planned_stop.py
+++ b/medlardoor/mesh/tests/test_planned_stop.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from medlardoor import lingering
+from medlardoor.mesh import settings
 from medlardoor.mesh.tests import group as group_module
 
 pytestmark = pytest.mark.anyio
@@ -93,3 +95,23 @@
     await member.done.wait()
     assert asyncio.get_running_loop().time() - started_at < 1.0
     assert group.table.read("instances/s1") is None
+
+
+async def test_stop_waits_for_clients_to_close(monkeypatch):
+    """The end of the process reset connections on which clients still read."""
+    monkeypatch.setattr(lingering, "LINGER_S", 30.0)
+    stop = settings.StopSettings(accept_s=0.1, grace_s=30.0, margin_s=0.2)
+    async with group_module.run_group(stop=stop) as group:
+        member = group.members["s1"]
+        reader, writer = await asyncio.open_connection(
+            member.host, member.settings.caller_address.port
+        )
+        member.stop.set()
+        writer.write(
+            b"GET /read/1 HTTP/1.1\r\nHost: x\r\nX-Attempt: a1\r\n\r\n"
+        )
+        assert b"connection: close" in await reader.read()
+        await asyncio.sleep(0.5)
+        assert not member.done.is_set()
+        writer.close()
+        await member.done.wait()
--- a/medlardoor/mesh/tests/test_server_connection.py
+++ b/medlardoor/mesh/tests/test_server_connection.py
@@ -17,9 +17,13 @@
         self.aborted = False
         self.paused = False
         self.ended = False
+        # Whether the client ends its side once the other one has ended, which
+        # closes a transport.
+        self.ends_with_sending = True
         self.unsent = 0
 
     def write(self, data):
+        assert not self.ended
         self.written += data
 
     def close(self):
@@ -45,6 +49,7 @@
 
     def write_eof(self):
         self.ended = True
+        self.closed = self.ends_with_sending
 
 
 class _Handle(handlers.RequestHandle):
