Rank teams of earlier documents, so that waiting requests are answered

Cause: a request keeps its team from the document under which it came in. When its token arrives, the team is ranked in the document in force, and a priority that is not listed there raises KeyError (log: frame_failed and task_failed in importance_of). Ruled out: the lender does not lose requests (no no_lender), and deadlines do not depend on the later document.

Change: an unlisted priority of a team counts as the next less urgent one, as that of a route did.

Before the fix, 5 of 6 cases of test_request_that_waits_for_a_token_outlasts_a_new_document fail and test_unlisted_priorities_count_as_the_next_less_urgent_ones does; the sixth, without teams, guards what held.

--- a/medlardoor/mesh/tests/test_lending.py
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -1,5 +1,6 @@
 """Tests of limits of teams through nodes on loopback."""
 
+import contextlib
 import dataclasses
 import itertools
 
@@ -324,3 +325,74 @@
         await group_module.wait_until(lambda: responses, timeout_s=1.0)
         assert responses[0].status == 200
         assert not member.node._dispatcher.in_progress
+
+
+@contextlib.asynccontextmanager
+async def _requests_without_a_token(monkeypatch, calls, **limits):
+    """Runs requests that wait for a lender; yields group, member and results.
+
+    The results are by attempt identifier. The member finds its lender again
+    when `monkeypatch` is undone.
+
+    Args:
+        monkeypatch: Fixture of the test.
+        calls: Fields of the calls by attempt identifier.
+        **limits: Changed settings of limits.
+    """
+    patient = dataclasses.replace(LIMITS, request_timeout_s=30.0, **limits)
+    async with group_module.run_group(
+        MEMBERS, _document(1_000, 1_000), limits=patient
+    ) as group:
+        await _wait_until_lent(group)
+        await _fill_bucket(group, burst=1_000)
+        member = group.members["s1"]
+        lending = member.node._lending
+        monkeypatch.setattr(lending._pledges, "lender_of", lambda shard: None)
+        responses = {}
+
+        async def call(attempt_id, fields):
+            responses[attempt_id] = await member.call(
+                "/read/1", attempt_id, lines=KEY_LINE, **fields
+            )
+
+        for count, (attempt_id, fields) in enumerate(calls.items(), 1):
+            group.tasks.start_soon(call, attempt_id, fields)
+            await group_module.wait_until(
+                lambda: len(lending._waiting) == count  # noqa: B023
+            )
+        yield group, member, responses
+        assert not member.node._dispatcher.in_progress
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        (*ROUTES, "team t1 k1 2 1000 1000"),
+        (*ROUTES, "team t1 k1 0 1000 1000"),
+        (*ROUTES, "team t2 k2 3 1000 1000"),
+        (ROUTES[1], "team t1 k1 4 1000 1000"),
+        ("/other/ stock safe 7", "team t2 k2 5 1000 1000"),
+        ROUTES,
+    ],
+    ids=["priority", "raised", "team", "route", "all", "no teams"],
+)
+async def test_request_that_waits_for_a_token_outlasts_a_new_document(
+    monkeypatch, document
+):
+    """Requests that waited for a token were never answered.
+
+    Their team was ranked in a newer document, which does not list its priority.
+    """
+    async with _requests_without_a_token(monkeypatch, {"w1": {}}) as (
+        group,
+        member,
+        responses,
+    ):
+        before = member.node._holder.table
+        group.publish(*document)
+        await group_module.wait_until(
+            lambda: member.node._holder.table is not before
+        )
+        monkeypatch.undo()
+        await group_module.wait_until(lambda: responses)
+        assert responses["w1"].status == 200
--- a/medlardoor/teams/importance.py
+++ b/medlardoor/teams/importance.py
@@ -48,10 +48,11 @@
 
         Args:
             route_priority: Priority of its route.
-                A priority that is not listed counts as the next less urgent
-                one.
             team_priority: Priority of its team. Without one, the request ranks
                 with the least urgent teams.
+
+        A priority that is not listed counts as the next less urgent one: the
+        route or the team may come from an earlier document.
         """
         if not self._by_route:
             return 0
@@ -59,12 +60,20 @@
             return max(0, self._by_route[-1] - route_priority)
         if team_priority is None:
             team_priority = self._by_team[-1]
-        index = bisect.bisect_left(self._by_route, route_priority)
-        listed = self._by_route[min(index, len(self._by_route) - 1)]
-        return self._importance[listed, team_priority]
+        pair = (
+            _listed(self._by_route, route_priority),
+            _listed(self._by_team, team_priority),
+        )
+        return self._importance[pair]
 
     def _urgency(self, pair: tuple[int, int]) -> tuple[bool, int, int]:
         """Sort key of a pair of priorities; the most urgent comes first."""
         route_priority, team_priority = pair
         is_less_urgent_route = route_priority > self._by_route[0]
         return is_less_urgent_route, team_priority, route_priority
+
+
+def _listed(priorities: list[int], priority: int) -> int:
+    """Returns a priority, or the next less urgent one of a sorted list."""
+    index = bisect.bisect_left(priorities, priority)
+    return priorities[min(index, len(priorities) - 1)]
--- a/medlardoor/teams/tests/test_importance.py
+++ b/medlardoor/teams/tests/test_importance.py
@@ -46,3 +46,13 @@
     scale = importance.ImportanceScale([ORDER, LOOKUP], [0, 1])
     assert scale.importance_of(1, 1) == scale.importance_of(LOOKUP, 1)
     assert scale.importance_of(9, 1) == scale.importance_of(LOOKUP, 1)
+
+
+def test_unlisted_priorities_count_as_the_next_less_urgent_ones():
+    """A request of an earlier document raised an exception in a newer one."""
+    scale = importance.ImportanceScale([ORDER, LOOKUP], [1, 3])
+    for unlisted, listed in ((0, 1), (2, 3), (9, 3)):
+        assert scale.importance_of(ORDER, unlisted) == scale.importance_of(
+            ORDER, listed
+        )
+    assert scale.importance_of(9, 9) == scale.importance_of(LOOKUP, 3)
