Limit the wait for a token by the deadline of the request

With a deadline of 200 ms it waited for as long as the lender did not answer.

Cause: the timer of a request was set when it was sent, not when it was read.

Change: a request is opened before it asks for a token, which counts it and sets its timer. At its deadline a request that still waits gets 503 (not run), which is true since it was not sent; a token that comes later is returned. A caller that leaves during the wait is counted as cancelled.

Measured (x86_64): test_wait_for_a_token_ends_at_the_deadline fails before.

--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -125,23 +125,28 @@
         """Number of ended attempts that were sent to an upstream."""
         return self._send_tracker.offer_count
 
-    def wait_for_token(self) -> None:
-        """Counts the request as in progress before it is started."""
+    def open(self) -> None:
+        """Counts the request as in progress and sets its time limit.
+
+        The limit holds for whatever the request waits for from now on.
+        """
         self._shared.in_progress += 1
+        self._timer = self._loop.call_at(
+            self.run.deadline + RESPONSE_MARGIN_S, self._on_timeout
+        )
 
-    def stop_waiting(self) -> None:
-        """Ends the time before the start; see `wait_for_token`."""
-        self._shared.in_progress -= 1
+    def withdraw(self) -> None:
+        """Ends an open request that is not sent; the owner responds to it."""
+        self._end()
 
     def start(self, path_level: int) -> None:
-        """Sends the request to an upstream, or refuses it.
+        """Sends an open request to an upstream, or refuses it.
 
         Args:
             path_level: Level of the calls that the upstream will make for the
                 request.
         """
         now = self._loop.time()
-        self._shared.in_progress += 1
         paths = self._shared.paths
         # A call made by a run in progress is not refused here: the work done by
         # the run would be lost, and its calls may still be admitted.
@@ -158,9 +163,6 @@
             share.count_call_of_retried_run(now)
         else:
             share.count_first_attempt(now)
-        self._timer = self._loop.call_at(
-            self.run.deadline + RESPONSE_MARGIN_S, self._on_timeout
-        )
         self._send(now)
 
     def cancel(self) -> None:
@@ -305,9 +307,12 @@
     def _on_timeout(self) -> None:
         if self.is_done:
             return
-        now = self._loop.time()
+        if self._attempt is None:
+            # It still waits for a token.
+            self._fail(errors.Outcome.NOT_RUN, errors.Reason.NO_LENDER)
+            return
         if self._run_handle is not None:
-            self._record_result(self._attempt, False, now)
+            self._record_result(self._attempt, False, self._loop.time())
         self._fail(errors.Outcome.UNKNOWN, errors.Reason.DEADLINE_EXCEEDED)
         self._cancel_attempt()
 
--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -232,6 +232,7 @@
             return None
         call = calls.Call(self._shared, request, route, run, reply, parent)
         if team is None or not team.rate_per_s:
+            call.open()
             self._start(call, team)
             return call
         return self._start_limited(call, team, reply)
@@ -259,9 +260,8 @@
         """
         run = call.run
         if not run.nested:
-            attempt_id = call.request.header(self._attempt_header)
             run.level = self._entry_levels.level(
-                call.route, team, attempt_id, call.now
+                call.route, team, run.attempt_id, call.now
             )
         call.start(levels.nested_level(run.level))
 
--- a/medlardoor/mesh/limited_calls.py
+++ b/medlardoor/mesh/limited_calls.py
@@ -22,8 +22,6 @@
 
     __slots__ = (
         "_call",
-        "_is_cancelled",
-        "_is_waiting",
         "_is_urgent",
         "_limiter",
         "_refuse",
@@ -46,33 +44,27 @@
         self._is_urgent = is_urgent
         self._limiter = team_limiter
         self._refuse = refuse
-        self._is_waiting = False
-        self._is_cancelled = False
 
     def begin(self) -> None:
         """Asks for a token."""
-        self._is_waiting = True
-        self._call.wait_for_token()
+        self._call.open()
         self._limiter.take(self._team, self._is_urgent, self._on_grant)
 
     def cancel(self) -> None:
         """Cancels the call, or the wait for a token."""
-        if self._is_waiting:
-            self._is_cancelled = True
-        else:
-            self._call.cancel()
+        self._call.cancel()
 
     def _on_grant(self, grant: limiter.Grant) -> None:
-        self._is_waiting = False
-        self._call.stop_waiting()
-        if self._is_cancelled:
+        if self._call.is_done:
             if grant.is_granted:
-                self._limiter.give_back(self._team)
-        elif grant.is_granted:
+                self._give_back()
+            return
+        if grant.is_granted:
             self._call.on_not_run = self._give_back
             self._start()
         else:
             self._refuse(grant)
+            self._call.withdraw()
 
     def _give_back(self) -> None:
         self._limiter.give_back(self._team)
--- a/medlardoor/mesh/tests/test_lending.py
+++ b/medlardoor/mesh/tests/test_lending.py
@@ -396,3 +396,23 @@
         monkeypatch.undo()
         await group_module.wait_until(lambda: responses)
         assert responses["w1"].status == 200
+
+
+async def test_wait_for_a_token_ends_at_the_deadline(monkeypatch):
+    """A request that waited for a token had no time limit of its own."""
+    calls = {"w1": {"deadline_ms": 200}}
+    async with _requests_without_a_token(monkeypatch, calls) as (
+        _,
+        member,
+        responses,
+    ):
+        await group_module.wait_until(lambda: responses)
+        assert responses["w1"].status == 503
+        assert responses["w1"].headers["medlardoor-outcome"] == "not-run"
+        assert not member.node._dispatcher.in_progress
+        monkeypatch.undo()
+        # The token that comes too late is returned.
+        lending = member.node._lending
+        await group_module.wait_until(lambda: not lending._waiting)
+        await group_module.wait_until(lambda: not lending._pending)
+        assert not member.upstream.runs
