End only the request or connection whose handling raised

Seen by callers: a defect that raises for one request leaves others without a response.

Cause: loops over requests or connections had no guard around one item.

Change: LimitedCall, Dispatcher and Call end the request with 502, `internal_error`, outcome unknown, and log `call_failed`. Nothing is swallowed: each log line has the traceback.

--- a/medlardoor/errors.py
+++ b/medlardoor/errors.py
@@ -58,6 +58,7 @@
     CREDENTIALS_INVALID = "credentials_invalid"
     RATE_LIMITED = "rate_limited"
     NO_LENDER = "no_lender"
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/medlardoor/mesh/calls.py
+++ b/medlardoor/mesh/calls.py
@@ -4,13 +4,17 @@
 import collections.abc
 import dataclasses
 
-from medlardoor import errors
+import logbook
+
+from medlardoor import errors, logs
 from medlardoor.config import routes as routes_module
 from medlardoor.mesh import handlers, local_run, refusals, runs, sends
 from medlardoor.routing import placement as placement_module
 
 __all__ = ["Call"]
 
+_LOG = logbook.Logger("calls")
+
 # The upstream enforces the same deadline and responds by itself, so the node
 # ends a request only this long after its deadline, in seconds.
 RESPONSE_MARGIN_S = 0.06
@@ -194,11 +198,40 @@
         self._run_handle = None
         target = self._shared.fleet.target(candidate.instance)
         handle = target.run(
-            self.run, lambda result: self._on_result(attempt, result)
+            self.run, lambda result: self._receive_result(attempt, result)
         )
         if self._attempt is attempt and not self.is_done:
             self._run_handle = handle
 
+    def end_after_error(self, error: Exception) -> None:
+        """Ends the request after an unexpected exception, with a response.
+
+        It may have been sent or not, so its outcome is unknown.
+        """
+        logs.log_exception(
+            _LOG,
+            "call_failed",
+            error,
+            request_id=self.run.attempt_id.decode("latin-1"),
+            route=self.route.name,
+        )
+        if self.is_done:
+            return
+        self._end()
+        self._cancel_attempt()
+        self._reply(
+            refusals.refusal_response(
+                errors.Outcome.UNKNOWN, errors.Reason.INTERNAL_ERROR
+            )
+        )
+
+    def _receive_result(self, attempt: Attempt, result: runs.RunResult) -> None:
+        """Handles a result; an exception ends no other call beside it."""
+        try:
+            self._on_result(attempt, result)
+        except Exception as error:  # noqa: BLE001
+            self.end_after_error(error)
+
     def _on_result(self, attempt: Attempt, result: runs.RunResult) -> None:
         now = self._loop.time()
         candidate = attempt.candidate
--- a/medlardoor/mesh/dispatch.py
+++ b/medlardoor/mesh/dispatch.py
@@ -259,11 +259,15 @@
         Requests that get no token are not part of the demand of their team.
         """
         run = call.run
-        if not run.nested:
-            run.level = self._entry_levels.level(
-                call.route, team, run.attempt_id, call.now
-            )
-        call.start(levels.nested_level(run.level))
+        try:
+            if not run.nested:
+                run.level = self._entry_levels.level(
+                    call.route, team, run.attempt_id, call.now
+                )
+            call.start(levels.nested_level(run.level))
+        except Exception as error:  # noqa: BLE001
+            # Other requests of its connection go on.
+            call.end_after_error(error)
 
     def _refuse_limited(
         self,
--- a/medlardoor/mesh/limited_calls.py
+++ b/medlardoor/mesh/limited_calls.py
@@ -59,12 +59,16 @@
             if grant.is_granted:
                 self._give_back()
             return
-        if grant.is_granted:
-            self._call.on_not_run = self._give_back
-            self._start()
-        else:
-            self._refuse(grant)
-            self._call.withdraw()
+        try:
+            if grant.is_granted:
+                self._call.on_not_run = self._give_back
+                self._start()
+            else:
+                self._refuse(grant)
+                self._call.withdraw()
+        except Exception as error:  # noqa: BLE001
+            # The limiter answers other requests in the same step.
+            self._call.end_after_error(error)
 
     def _give_back(self) -> None:
         self._limiter.give_back(self._team)
--- a/medlardoor/mesh/listening.py
+++ b/medlardoor/mesh/listening.py
@@ -5,12 +5,17 @@
 import dataclasses
 import functools
 
+import logbook
+
+from medlardoor import logs
 from medlardoor.admission import buffers as buffers_module
 from medlardoor.mesh import connection_guard, handlers, server_connection
 from medlardoor.mesh import settings as settings_module
 
 __all__ = ["Listeners", "RequestHandlers", "listen"]
 
+_LOG = logbook.Logger("connections")
+
 # Number of connections that the kernel queues for each listener.
 LISTEN_BACKLOG = 1_024
 
@@ -119,7 +124,12 @@
             now: Current time, in seconds.
         """
         for connection in list(self._connections):
-            connection.check_timeouts(now)
+            try:
+                connection.check_timeouts(now)
+            except Exception as error:  # noqa: BLE001
+                # The limits of the other connections still hold.
+                logs.log_exception(_LOG, "connection_check_failed", error)
+                connection.abort()
         self._guard.check(now)
 
     def close_idle(self) -> None:
--- a/medlardoor/mesh/server_connection.py
+++ b/medlardoor/mesh/server_connection.py
@@ -128,7 +128,7 @@
         self._read_on()
 
     def end(self, reason: ClosingReason) -> None:
-        """Refuses the unfinished request, or closes the connection.
+        """Refuses the unfinished request, or aborts the connection.
 
         Args:
             reason: Why.
@@ -138,15 +138,8 @@
             # been passed on: the client may send it again.
             self.reject(http.HTTPStatus.SERVICE_UNAVAILABLE)
             return
-        self._reader.stop()
-        if self._transport is None:
-            return
-        is_idle = reason is ClosingReason.IDLE_REPLACED
-        if is_idle and not self._transport.get_write_buffer_size():
-            # Another connection needs the descriptor now.
-            self._transport.close()
-        else:
-            self._transport.abort()
+        # Another connection needs the descriptor or the memory now.
+        self.abort()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -268,6 +261,12 @@
         if self.is_idle:
             self._close()
 
+    def abort(self) -> None:
+        """Closes the connection at once; unsent data is dropped."""
+        self._reader.stop()
+        if self._transport is not None:
+            self._transport.abort()
+
     def _close(self) -> None:
         """Ends sending; the client may still send and read until it closes."""
         self._reader.stop()
@@ -394,6 +393,4 @@
         The request may have been sent to an upstream or not: no status is true.
         """
         logs.log_exception(_LOG, "handler_failed", error)
-        self._reader.stop()
-        if self._transport is not None:
-            self._transport.abort()
+        self.abort()
--- a/medlardoor/mesh/tests/test_connection_guard.py
+++ b/medlardoor/mesh/tests/test_connection_guard.py
@@ -7,7 +7,8 @@
 
 from medlardoor import logs
 from medlardoor.admission import buffers, connection_budget
-from medlardoor.mesh import connection_guard
+from medlardoor.mesh import connection_guard, server_connection
+from medlardoor.mesh.tests import group as group_module
 
 Reason = connection_budget.ClosingReason
 
@@ -115,3 +116,35 @@
     for name in ("unfinished_heads", "unfinished_head_bytes", "unsent_bytes"):
         assert f"medlardoor_{name} 0" in text
     assert "medlardoor_client_connections " in text
+
+
+@pytest.mark.anyio
+async def test_error_of_a_connection_leaves_the_others(group, monkeypatch):
+    """An exception for one connection ended the time limits of all others."""
+    member = group.members["s1"]
+    listeners = member.node._listeners
+    connections = [
+        await asyncio.open_connection(
+            member.host, member.settings.caller_address.port
+        )
+        for _ in range(3)
+    ]
+    await group_module.wait_until(lambda: len(listeners._connections) >= 3)
+    opened = list(listeners._connections)
+    checked = set()
+
+    def check(connection, now):
+        checked.add(connection)
+        if connection is opened[0]:
+            raise KeyError("defect")
+
+    monkeypatch.setattr(
+        server_connection.ServerConnection, "check_timeouts", check
+    )
+    listeners.sweep(asyncio.get_running_loop().time())
+    assert checked >= set(opened)
+    await group_module.wait_until(
+        lambda: listeners._connections == set(opened[1:])
+    )
+    for _, writer in connections:
+        writer.close()
--- a/medlardoor/mesh/tests/test_waiting_requests.py
+++ b/medlardoor/mesh/tests/test_waiting_requests.py
@@ -130,6 +130,30 @@
         assert responses["w1"].status == 200
 
 
+async def test_error_of_a_waiting_request_ends_it_alone(monkeypatch):
+    """An exception for one waiting request dropped all those beside it."""
+    calls = {"first": {}, "bad": {}, "last": {}}
+    async with _requests_without_a_token(monkeypatch, calls) as (
+        _,
+        member,
+        responses,
+    ):
+        entry_levels = member.node._dispatcher.entry_levels
+        level = entry_levels.level
+        monkeypatch.undo()
+
+        def fail(route, team, attempt_id, now):
+            if attempt_id == b"bad":
+                raise KeyError(attempt_id)
+            return level(route, team, attempt_id, now)
+
+        monkeypatch.setattr(entry_levels, "level", fail)
+        await group_module.wait_until(lambda: len(responses) == 3)
+        statuses = {name: r.status for name, r in responses.items()}
+        assert statuses == {"first": 200, "bad": 502, "last": 200}
+        assert responses["bad"].headers["medlardoor-outcome"] == "unknown"
+
+
 async def test_wait_for_a_token_ends_at_the_deadline(monkeypatch):
     """A request that waited for a token had no time limit of its own."""
     calls = {"w1": {"deadline_ms": 200}}
