Wait in a planned stop until other nodes have received the answers

Seen by callers: a call that ran on a stopping node gets 502, outcome unknown, `node_unreachable`, if its answer is large or the calling node reads slowly.

Cause: the stop ended when no call ran, and then aborted the links. What was still in the buffers of a link was dropped.

Change: InboundCalls, split off Fleet, holds the calls of one inbound link and notes whether an answer may be unread. The stop waits, within its grace time, until the kernels of the other nodes have acknowledged all of them.

--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -14,6 +14,7 @@
     document_exchange,
     documents,
     fleet_events,
+    inbound_calls,
     links,
     local_upstream,
     peers,
@@ -45,16 +46,6 @@
 ADDRESS_FORWARDING_DELAY_S = 4.0
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _InboundLink:
-    """State of a link opened by another node."""
-
-    # Runs by call identifier; None while a run is being started.
-    handles: dict[int, runs.RunHandle | None] = dataclasses.field(
-        default_factory=dict
-    )
-
-
 class Fleet(links.LinkEvents):
     """Exchanges status, calls and documents with other nodes.
 
@@ -90,7 +81,7 @@
         self._events = events
         self._loop = asyncio.get_running_loop()
         self._roster = roster.Roster(settings, self, generator)
-        self._inbound: dict[links.Link, _InboundLink] = {}
+        self._inbound: dict[links.Link, inbound_calls.InboundCalls] = {}
         self._usable: dict[str, list[placement.Candidate]] = {}
         self._own_candidate = placement.Candidate(
             settings.instance, settings.failure_domain, service=settings.service
@@ -126,6 +117,11 @@
         """Number of links, inbound and dialled."""
         return len(self._inbound) + len(self._roster.dialled_links)
 
+    @property
+    def has_unread_answers(self) -> bool:
+        """Whether another node has yet to receive an answer of this one."""
+        return any(calls.has_unread_answers for calls in self._inbound.values())
+
     @property
     def has_open_link(self) -> bool:
         """Whether this node has an open link to another node."""
@@ -204,7 +200,7 @@
     def link_opened(self, link: links.Link) -> None:
         """Registers a new link and sends the status of this node on it."""
         if link.dialled_address is None:
-            self._inbound[link] = _InboundLink()
+            self._inbound[link] = inbound_calls.InboundCalls(link, self._local)
         else:
             self._roster.link_opened(link)
         link.send(ttypes.Frame(status=self._own_status()))
@@ -217,7 +213,9 @@
             if peer is not None:
                 peer.call_answered(frame.answer)
         elif frame.call is not None:
-            self._run_call(link, frame.call)
+            inbound = self._inbound.get(link)
+            if inbound is not None:
+                inbound.run(frame.call)
         elif frame.cancel is not None:
             self._on_cancel(link, frame)
         elif frame.status is not None:
@@ -236,8 +234,7 @@
         """Cancels runs requested on the link, or fails calls sent on it."""
         inbound = self._inbound.pop(link, None)
         if inbound is not None:
-            for handle in list(inbound.handles.values()):
-                handle.cancel()
+            inbound.cancel_all()
             self._events.link_closed(link, None)
             return
         peer = self._roster.link_closed(link)
@@ -246,25 +243,6 @@
             self._usable.clear()
             peer.fail_calls()
 
-    def _run_call(self, link: links.Link, call: ttypes.RunCall) -> None:
-        """Runs a call from another node on the local upstream."""
-        inbound = self._inbound.get(link)
-        if inbound is None:
-            return
-        call_id = call.id
-
-        def report(result: runs.RunResult) -> None:
-            inbound.handles.pop(call_id, None)
-            answer = statuses.to_answer(call_id, result)
-            link.send(ttypes.Frame(answer=answer))
-
-        inbound.handles[call_id] = None
-        run = statuses.from_call(call, self._loop.time())
-        handle = self._local.run(run, report)
-        # The result may have been reported before `run` returned.
-        if call_id in inbound.handles:
-            inbound.handles[call_id] = handle
-
     def _on_cancel(self, link: links.Link, frame: ttypes.Frame) -> None:
         """Cancels a run, answers a probe or accepts the answer to a probe."""
         inbound = self._inbound.get(link)
@@ -275,9 +253,7 @@
         elif frame.cancel.id == peers.PROBE_CALL_ID:
             link.send(frame)
         else:
-            handle = inbound.handles.pop(frame.cancel.id, None)
-            if handle is not None:
-                handle.cancel()
+            inbound.cancel(frame.cancel.id)
 
     def _on_status(self, link: links.Link, status: ttypes.NodeStatus) -> None:
         """Processes a status message."""
--- a/medlardoor/mesh/links.py
+++ b/medlardoor/mesh/links.py
@@ -11,7 +11,7 @@
 
 import logbook
 
-from medlardoor import logs
+from medlardoor import lingering, logs
 from medlardoor.mesh import settings as settings_module
 from medlardoor.wire import frames
 from medlardoor.wire.generated.medlardoor_messages import ttypes
@@ -89,6 +89,14 @@
         unsent = transport.get_write_buffer_size()
         return unsent > self._settings.max_unsent_bytes
 
+    @property
+    def has_undelivered_data(self) -> bool:
+        """Whether the other node has not acknowledged all that was sent."""
+        transport = self._transport
+        return transport is not None and bool(
+            lingering.undelivered_bytes(transport)
+        )
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Configures the socket and reports the open link."""
         self._transport = transport
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -290,7 +290,10 @@
             or admission_queue.waiting
         ):
             return True
-        return self._listeners.has_unread_responses
+        return (
+            self._listeners.has_unread_responses
+            or self._fleet.has_unread_answers
+        )
 
     async def _sweep(self) -> None:
         """Enforces time limits of connections and publishes rank changes.
--- a/medlardoor/mesh/tests/group.py
+++ b/medlardoor/mesh/tests/group.py
@@ -111,6 +111,7 @@
         self.delay_s = 0.0
         self.status = 200
         self.extra_headers = b""
+        self.extra_body = b""
         # Number of further requests that are shed.
         self.remaining_sheds = 0
         self.connections = set()
@@ -139,7 +140,8 @@
             self.status,
             b"X-Attempt: %b\r\nX-Seal: s\r\n%b"
             % (attempt_id, self.extra_headers),
-            b"%b ran %b" % (self.upstream_id.encode(), request.target),
+            b"%b ran %b" % (self.upstream_id.encode(), request.target)
+            + self.extra_body,
         )
         if not self.delay_s:
             reply(response)
--- a/medlardoor/mesh/tests/test_planned_stop.py
+++ b/medlardoor/mesh/tests/test_planned_stop.py
@@ -115,3 +115,22 @@
         assert not member.done.is_set()
         writer.close()
         await member.done.wait()
+
+
+async def test_stop_delivers_answers_to_other_nodes(group):
+    """The end of the process cut answers that another node had yet to read."""
+    caller, stopping = group.members["s1"], group.members["o1"]
+    stopping.upstream.extra_body = bytes(8_000_000)
+    stopping.upstream.delay_s = 0.2
+    call = asyncio.create_task(caller.call("/order/1", method="POST"))
+    await group_module.wait_until(lambda: stopping.upstream.runs)
+    link = caller.node._fleet.roster.open_link("o1")
+    link._transport.pause_reading()
+    stopping.stop.set()
+    await asyncio.sleep(0.8)
+    assert not stopping.done.is_set()
+    link._transport.resume_reading()
+    response = await call
+    assert response.status == 200
+    assert len(response.body) > 8_000_000
+    await stopping.done.wait()
