Close connections of the own interface in two steps

Seen by callers of the product's own interface: a client that sends a further request behind its last one gets a reset in the middle of the last response, with `Connection: close` and at a planned stop.

Cause: uvicorn closes its transport in the step in which it writes the last response.

Change: LimitedProtocol gives uvicorn a LingeringTransport, whose close ends the sending side only; what is received then is dropped. The time limits are those of the other interface. Beyond max_connections, a connection whose client has received everything makes room for a new one.

--- a/medlardoor/lingering.py
+++ b/medlardoor/lingering.py
@@ -14,8 +14,9 @@
 import fcntl
 import struct
 import termios
+import typing
 
-__all__ = ["LingeringClose", "undelivered_bytes"]
+__all__ = ["LingeringClose", "LingeringTransport", "undelivered_bytes"]
 
 # How long a connection stays open after everything on it was delivered, in
 # seconds. The other side has this time to learn of the end and to close.
@@ -91,3 +92,75 @@
             transport.abort()
         elif not undelivered and now - self._progress_at >= LINGER_S:
             transport.close()
+
+
+class LingeringTransport(asyncio.Transport):
+    """Transport that closes in two steps, for protocols of libraries.
+
+    `close` ends the sending side. The protocol has to drop what it receives
+    then, and its owner has to call `check` regularly.
+
+    Args:
+        transport: The connection.
+    """
+
+    def __init__(self, transport: asyncio.Transport):
+        super().__init__()
+        self._transport = transport
+        self._loop = asyncio.get_running_loop()
+        self._lingering: LingeringClose | None = None
+
+    @property
+    def is_lingering(self) -> bool:
+        """Whether the sending side has ended."""
+        return self._lingering is not None
+
+    @property
+    def awaits_close(self) -> bool:
+        """Whether everything was delivered and only the end is awaited."""
+        return self.is_lingering and not undelivered_bytes(self._transport)
+
+    def check(self, idle_timeout_s: float, now: float) -> None:
+        """Closes the connection if its time is over; see `LingeringClose`."""
+        if self._lingering is not None:
+            self._lingering.check(idle_timeout_s, now)
+
+    def close(self) -> None:
+        """Ends the sending side, after what was written."""
+        if self.is_closing():
+            return
+        # Unread data would reset the connection when it is closed.
+        self._transport.resume_reading()
+        self._lingering = LingeringClose(self._transport, self._loop.time())
+
+    def is_closing(self) -> bool:
+        """Whether nothing more can be written."""
+        return self.is_lingering or self._transport.is_closing()
+
+    def abort(self) -> None:
+        """Closes the connection at once; unsent data is dropped."""
+        self._transport.abort()
+
+    def write(self, data: bytes) -> None:
+        """Writes data, unless the sending side has ended."""
+        if not self.is_lingering:
+            self._transport.write(data)
+
+    def pause_reading(self) -> None:
+        """Pauses reading, unless the sending side has ended."""
+        if not self.is_lingering:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Resumes reading."""
+        self._transport.resume_reading()
+
+    def get_extra_info(
+        self, name: str, default: typing.Any = None
+    ) -> typing.Any:
+        """Returns information about the connection."""
+        return self._transport.get_extra_info(name, default)
+
+    def get_write_buffer_size(self) -> int:
+        """Returns the number of bytes that the kernel has not taken."""
+        return self._transport.get_write_buffer_size()
--- a/medlardoor/node/serving/protocol.py
+++ b/medlardoor/node/serving/protocol.py
@@ -8,7 +8,7 @@
 import httptools
 from uvicorn.protocols.http import httptools_impl
 
-from medlardoor import errors
+from medlardoor import errors, lingering
 from medlardoor.calls import problems
 from medlardoor.config import settings as settings_module
 
@@ -80,8 +80,12 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Accepts the connection; closes it if too many are open."""
+        transport = lingering.LingeringTransport(transport)
         settings = self._limits.settings
-        if len(self.connections) >= settings.max_connections:
+        if (
+            len(self.connections) >= settings.max_connections
+            and not self._close_delivered()
+        ):
             self._limits.refused_connections += 1
             self._ignores_input = True
             self.transport = transport
@@ -99,7 +103,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and enforces the size limits."""
-        if self._ignores_input:
+        if self._ignores_input or self.transport.is_lingering:
             return
         self._unset_keepalive_if_required()
         self._progress_at = self.loop.time()
@@ -171,7 +175,11 @@
         Args:
             now: Time of the event loop, in seconds.
         """
-        if self.transport.is_closing() or self.flow.write_paused:
+        transport = self.transport
+        if transport.is_lingering and not transport.get_write_buffer_size():
+            transport.check(self._limits.settings.idle_timeout_s, now)
+            return
+        if transport.is_closing() or self.flow.write_paused:
             self._check_write_progress(now)
             return
         settings = self._limits.settings
@@ -200,6 +208,15 @@
             return
         self._progress_at = now
 
+    def _close_delivered(self) -> bool:
+        """Closes a connection whose client has received everything, if any."""
+        for connection in self.connections:
+            if connection.transport.awaits_close:
+                self.connections.discard(connection)
+                connection.transport.abort()
+                return True
+        return False
+
     def _start_asgi_task(
         self,
         cycle: httptools_impl.RequestResponseCycle,
