Keep the headers of a refusal that waits for earlier responses

Seen by callers: the refusal of a body for lack of buffer space has no outcome, no reason and no Retry-After if responses to earlier requests of its connection are sent first.

Cause: only the status of such a refusal was kept.

Change: the whole response is kept.

Measured: test_refusal_behind_earlier_requests_keeps_its_headers fails on the commit before and passes now.

--- a/medlardoor/mesh/server_connection.py
+++ b/medlardoor/mesh/server_connection.py
@@ -186,8 +186,6 @@
 
     def request_refused(self, refusal: handlers.Response) -> None:
         """Sends a refusal and closes; see `ReaderEvents`."""
-        if len(self._pipeline):
-            refusal = handlers.Response(refusal.status)
         self._end_with(refusal)
 
     def _end_with(self, response: handlers.Response) -> None:
--- a/medlardoor/mesh/tests/test_pipeline.py
+++ b/medlardoor/mesh/tests/test_pipeline.py
@@ -5,7 +5,7 @@
 import pytest
 
 from medlardoor import lingering
-from medlardoor.mesh import server_connection
+from medlardoor.mesh import handlers, server_connection
 from medlardoor.mesh.tests import test_server_connection
 
 GET = test_server_connection.GET
@@ -173,6 +173,24 @@
     run(check)
 
 
+def test_refusal_behind_earlier_requests_keeps_its_headers(run):
+    """A refusal that waited for earlier responses lost its Retry-After."""
+
+    async def check(client):
+        refusal = handlers.Response(503, b"Retry-After: 2\r\n", b"full")
+        client.handler.refuse_body = lambda host, target: refusal
+        client.buffers.reserve_unchecked(4_000)
+        client.send(GET + POST.replace(b"Length: 2", b"Length: 2000"))
+        client.reply()
+        first, second = client.transport.written.split(b"HTTP/1.1 ")[1:]
+        assert first.startswith(b"200 ")
+        assert second.startswith(b"503 ")
+        assert b"Retry-After: 2\r\n" in second
+        assert second.endswith(b"\r\n\r\nfull")
+
+    run(check)
+
+
 def test_buffer_space_of_a_body_is_released(run):
     """Buffer space is released after each response and on disconnection.
 
