Serve requests that offer another protocol, with their bodies

Cause: the parser ends such a message after its head, reports it as complete and raises HttpParserUpgrade afterwards. The reader passed the request on at the report. The own interface did the same.

Change: a message that ends for an offer is not passed on. The head is parsed once more without the offer, then the body. CONNECT gets 400 before it is passed on.

--- a/medlardoor/mesh/request_head.py
+++ b/medlardoor/mesh/request_head.py
@@ -57,6 +57,11 @@
             self._unpack()
         return self._headers
 
+    @property
+    def all_headers(self) -> list[tuple[bytes, bytes]]:
+        """The headers, with one for each ``Host`` line."""
+        return [(b"host", self._host)] * self._host_lines + self.headers
+
     def reset(self) -> None:
         """Discards everything, for the next request."""
         self.url = b""
--- a/medlardoor/mesh/request_reader.py
+++ b/medlardoor/mesh/request_reader.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from medlardoor import protocol_offers
 from medlardoor.admission import body_buffer
 from medlardoor.admission import buffers as buffers_module
 from medlardoor.mesh import handlers, pipeline, request_head
@@ -203,6 +204,12 @@
         if head.is_too_long:
             self._events.head_exceeded(has_many_lines=True)
             return
+        if self._parser.should_upgrade():
+            # The head is parsed once more, without the offer.
+            self._is_in_head = True
+            if self._parser.get_method() == b"CONNECT":
+                self._events.reject(BAD_REQUEST)
+            return
         if head.lines > MIN_COUNTED_LINES:
             size = head.lines * LINE_BYTES
             if not self._try_reserve(size):
@@ -237,7 +244,7 @@
 
     def on_message_complete(self) -> None:
         """Passes on a complete request."""
-        if self._is_stopped:
+        if self._is_stopped or self._parser.should_upgrade():
             return
         head = self._head
         has_host = head.has_one_host
@@ -268,8 +275,8 @@
         self._head_bytes += len(data)
         self._is_parsing = True
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._feed(data)
+        except httptools.HttpParserError:
             if not self._is_stopped:
                 self._events.reject(BAD_REQUEST)
             return
@@ -282,6 +289,23 @@
         elif self._head.is_too_long:
             self._events.head_exceeded(has_many_lines=True)
 
+    def _feed(self, data: bytes | memoryview) -> None:
+        """Parses data; offers of other protocols are ignored."""
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                if self._is_stopped:
+                    return
+                (parsed_bytes,) = offer.args
+                data = data[parsed_bytes:]
+            head = protocol_offers.head_without_offer(
+                self._parser, self._head.url, self._head.all_headers
+            )
+            self._parser = httptools.HttpRequestParser(self)
+            self._parser.feed_data(head)
+
     def _try_reserve(self, size: int) -> bool:
         """Reserves buffer space, or refuses the request.
 
--- a/medlardoor/mesh/tests/test_request_reader.py
+++ b/medlardoor/mesh/tests/test_request_reader.py
@@ -16,6 +16,11 @@
     b"POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"2\r\nab\r\n3;e=1\r\n\n\n\r\r\n0\r\nTrailer: z\r\n\r\n"
 )
+OFFER = (
+    b"POST /u HTTP/1.1\r\nHost: x\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+    b"Upgrade: h2c\r\nHTTP2-Settings: AA\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nab\r\n0\r\n\r\n"
+)
 STREAMS = {
     "one": test_server_connection.GET,
     "empty lines before": b"\r\n\r\n" + test_server_connection.GET,
@@ -24,6 +29,9 @@
     "chunked": CHUNKED,
     "expect": b"POST /e HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
     b"Content-Length: 2\r\n\r\nab",
+    "offer": b"POST /u HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n"
+    b"Upgrade: h2c\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nab",
+    "offers": OFFER + CHUNKED + OFFER + test_server_connection.GET,
     "odd headers": b"GET /o HTTP/1.1\r\nHost: x\r\na:\r\na: \r\nb: c:d\r\n"
     b"b:\te \r\n\r\n",
     "two hosts": b"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
@@ -89,6 +97,26 @@
     assert single[0] == whole[0]
 
 
+def test_offer_of_another_protocol_is_ignored():
+    """An order that offered HTTP/2 was run with an empty body."""
+    (request,), written, closed = _outcome([OFFER])
+    assert request[:3] == (b"POST", b"/u", b"x")
+    assert request[4] == b"ab"
+    assert b"upgrade" not in [name for name, _ in request[3]]
+    assert written.startswith(b"HTTP/1.1 200 ")
+    assert not closed
+
+
+def test_tunnel_is_refused():
+    """A CONNECT request was passed on before it was refused."""
+    requests, written, closed = _outcome(
+        [b"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n"]
+    )
+    assert requests == []
+    assert written.startswith(b"HTTP/1.1 400 ")
+    assert closed
+
+
 def _lines(count):
     return b"GET / HTTP/1.1\r\nHost: x\r\n" + b"a:\r\n" * count
 
--- a/medlardoor/node/serving/protocol.py
+++ b/medlardoor/node/serving/protocol.py
@@ -8,7 +8,7 @@
 import httptools
 from uvicorn.protocols.http import httptools_impl
 
-from medlardoor import errors, lingering
+from medlardoor import errors, lingering, protocol_offers
 from medlardoor.calls import problems
 from medlardoor.config import settings as settings_module
 
@@ -111,15 +111,7 @@
             self._head_started_at = self._progress_at
         self._overhead_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The server supports no other protocol and answers in HTTP/1.1, as
-            # RFC 9110, section 7.8, permits. Bytes after the upgrade request
-            # cannot be parsed.
-            self._ignores_input = True
-            if self.cycle is not None:
-                self.cycle.keep_alive = False
-            return
+            self._feed(data)
         except httptools.HttpParserError:
             status = BAD_REQUEST_STATUS
             if self._is_head_too_large:
@@ -146,6 +138,9 @@
     def on_headers_complete(self) -> None:
         """Checks the head and starts the request."""
         self._check_head()
+        if self.parser.should_upgrade():
+            # The head is parsed once more, without the offer.
+            return
         super().on_headers_complete()
         # The parser reports trailers as headers too. The request that has just
         # started keeps its own list, without the trailers.
@@ -165,6 +160,8 @@
 
     def on_message_complete(self) -> None:
         """Ends the request; the next head may start."""
+        if self.parser.should_upgrade():
+            return
         self._in_head = True
         self._overhead_bytes = 0
         super().on_message_complete()
@@ -208,6 +205,22 @@
             return
         self._progress_at = now
 
+    def _feed(self, data: bytes) -> None:
+        """Parses data; offers of other protocols are ignored."""
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                (parsed_bytes,) = offer.args
+                data = data[parsed_bytes:]
+            head = protocol_offers.head_without_offer(
+                self.parser, self.url, self.headers
+            )
+            self.parser = httptools.HttpRequestParser(self)
+            self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+            self.parser.feed_data(head)
+
     def _close_delivered(self) -> bool:
         """Closes a connection whose client has received everything, if any."""
         for connection in self.connections:
@@ -235,9 +248,11 @@
 
         Raises:
             ValueError: The head is too large, its Host header is missing or
-                repeated, or its HTTP version is not supported. The parser
-                turns the exception into an `HttpParserError`.
+                repeated, or its method or HTTP version is not supported. The
+                parser turns the exception into an `HttpParserError`.
         """
+        if self.parser.get_method() == b"CONNECT":
+            raise ValueError("expected a request for a resource, got CONNECT")
         size = len(self.url)
         hosts = 0
         for name, value in self.headers:
--- a/medlardoor/node/serving/tests/test_protocol.py
+++ b/medlardoor/node/serving/tests/test_protocol.py
@@ -14,6 +14,10 @@
 
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 GET_AND_CLOSE = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+OFFER = (
+    b"POST / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+    b"Upgrade: h2c\r\nHTTP2-Settings: AA\r\nContent-Length: 2\r\n\r\nab"
+)
 # More than the receive buffer of the client takes.
 BODY = b"x" * 200_000
 RECEIVE_BUFFER_BYTES = 4_096
@@ -46,6 +50,27 @@
         await send({"type": "http.response.body", "body": BODY})
 
 
+class _Echo:
+    """Answers each request with its body."""
+
+    def __init__(self):
+        self.bodies = []
+
+    async def __call__(self, scope, receive, send):
+        body = b""
+        has_more = True
+        while has_more:
+            message = await receive()
+            body += message.get("body", b"")
+            has_more = message.get("more_body", False)
+        self.bodies.append(body)
+        headers = [(b"content-length", b"%d" % len(body))]
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
 @contextlib.asynccontextmanager
 async def _serve(app, **limits):
     listener = servers.HttpListener(
@@ -132,3 +157,31 @@
             while connections:  # noqa: ASYNC110
                 await anyio.sleep(0.05)
         sock.close()
+
+
+async def test_offer_of_another_protocol_is_ignored():
+    """A request that offered HTTP/2 was run with an empty body."""
+    app = _Echo()
+    async with _serve(app) as listener:
+        sock = await _connect(listener)
+        request = OFFER + GET_AND_CLOSE
+        # One byte at a time, so that each part of the head is read apart.
+        for position in range(len(request)):
+            await _send(sock, request[position : position + 1])
+            await asyncio.sleep(0)
+        received = await _read_to_end(sock)
+        sock.close()
+    assert app.bodies == [b"ab", b""]
+    assert received.count(b"HTTP/1.1 200") == 2
+
+
+async def test_tunnel_is_refused():
+    """A CONNECT request has no path by which it could be routed."""
+    app = _Echo()
+    async with _serve(app) as listener:
+        sock = await _connect(listener)
+        await _send(sock, b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        received = await _read_to_end(sock)
+        sock.close()
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert not app.bodies
