Count unsent frames of links in the buffer budget, and bound them

Cause: the bytes of an answer leave the buffer budget when it is complete, and a link holds it without a limit until the other node reads. Only calls looked at what is unsent.

Change: LinkBudget counts frames of 64 KB and more until the kernel has taken them. Together they take at most half of the buffer budget; beyond that an answer with a large body is replaced by 502, unknown, `buffers_full`, and a large call is not run and goes to another node. A link that holds no large frame always takes one.

--- /dev/null
+++ b/medlardoor/admission/link_budget.py
@@ -0,0 +1,67 @@
+"""Accounting for large frames on links between nodes in the buffer budget.
+
+A node that stands still reads nothing, and what is sent to it is held by the
+sender.
+"""
+
+from medlardoor.admission import buffers as buffers_module
+
+__all__ = ["COUNTED_BYTES", "LinkBudget"]
+
+# Frames of this size, in bytes, and larger ones are counted. Smaller ones are
+# bounded by the number of requests in progress.
+COUNTED_BYTES = 65_536
+
+# Share of the buffer budget that unsent frames may take. The rest is for the
+# requests and responses that do not wait for a slow link.
+UNSENT_SHARE = 0.5
+
+
+class LinkBudget:
+    """Decides on large frames of all links of a node.
+
+    Args:
+        buffers: Budget for the bytes of bodies held in memory.
+    """
+
+    def __init__(self, buffers: buffers_module.BufferBudget):
+        self._buffers = buffers
+        self._unsent_bytes = 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of large frames that the kernel has not taken."""
+        return self._unsent_bytes
+
+    def may_send(self, size: int, link_unsent_bytes: int) -> bool:
+        """Whether a frame may be sent on a link.
+
+        A frame is always sent on a link that holds no large one: it has not
+        been found to be slow.
+
+        Args:
+            size: Size of the body in the frame, in bytes.
+            link_unsent_bytes: Bytes of large frames that the link holds.
+        """
+        if size < COUNTED_BYTES or not link_unsent_bytes:
+            return True
+        limit_bytes = self._buffers.limit_bytes * UNSENT_SHARE
+        return self._unsent_bytes + size <= limit_bytes
+
+    def add_unsent(self, size: int) -> None:
+        """Counts a large frame that is written to a link.
+
+        Args:
+            size: Size of the frame, in bytes.
+        """
+        self._unsent_bytes += size
+        self._buffers.reserve_unchecked(size)
+
+    def release_unsent(self, size: int) -> None:
+        """Releases frames that the kernel has taken, or that were dropped.
+
+        Args:
+            size: Size of the frames, in bytes.
+        """
+        self._unsent_bytes -= size
+        self._buffers.release(size)
--- /dev/null
+++ b/medlardoor/admission/tests/test_link_budget.py
@@ -0,0 +1,28 @@
+"""Tests of the accounting for large frames on links."""
+
+from medlardoor.admission import buffers, link_budget
+
+LARGE = link_budget.COUNTED_BYTES
+LIMIT = 10 * LARGE
+
+
+def _budget():
+    buffer_budget = buffers.BufferBudget(LIMIT)
+    return buffer_budget, link_budget.LinkBudget(buffer_budget)
+
+
+def test_slow_links_leave_room_for_others():
+    """Frames to nodes that stand still would take the whole buffer budget."""
+    buffer_budget, budget = _budget()
+    held = 0
+    while budget.may_send(LARGE, held):
+        budget.add_unsent(LARGE)
+        held += LARGE
+    assert held == LIMIT * link_budget.UNSENT_SHARE
+    assert buffer_budget.used_bytes == held
+    # Small frames, and a link that has taken all so far, are not affected.
+    assert budget.may_send(LARGE - 1, held)
+    assert budget.may_send(LARGE, 0)
+    budget.release_unsent(held)
+    assert budget.may_send(LARGE, held)
+    assert buffer_budget.used_bytes == 0
--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -9,6 +9,8 @@
 import logbook
 
 from medlardoor import logs
+from medlardoor.admission import buffers as buffers_module
+from medlardoor.admission import link_budget
 from medlardoor.membership import neighbours
 from medlardoor.mesh import (
     document_exchange,
@@ -56,6 +58,7 @@
     Args:
         settings: Settings of the node.
         local: The local upstream.
+        buffers: Budget for the bytes of bodies held in memory.
         holder: Holder of the route document exchanged with other nodes.
         era: Era of the store; statuses of other nodes carry it.
         make_status: Returns the current status of this node.
@@ -67,6 +70,7 @@
         self,
         settings: settings_module.MeshSettings,
         local: local_upstream.LocalUpstream,
+        buffers: buffers_module.BufferBudget,
         holder: documents.DocumentHolder,
         era: store_era.StoreEra,
         make_status: collections.abc.Callable[[], ttypes.NodeStatus],
@@ -80,7 +84,8 @@
         self._make_status = make_status
         self._events = events
         self._loop = asyncio.get_running_loop()
-        self._roster = roster.Roster(settings, self, generator)
+        self._budget = link_budget.LinkBudget(buffers)
+        self._roster = roster.Roster(settings, self, self._budget, generator)
         self._inbound: dict[links.Link, inbound_calls.InboundCalls] = {}
         self._usable: dict[str, list[placement.Candidate]] = {}
         self._own_candidate = placement.Candidate(
@@ -170,7 +175,7 @@
 
     def make_inbound(self) -> links.Link:
         """Returns the protocol for a link opened by another node."""
-        return links.Link(self, self._link_settings)
+        return links.Link(self, self._link_settings, self._budget)
 
     async def run(self) -> None:
         """Maintains the links and sends the status until cancelled."""
@@ -183,6 +188,8 @@
                 self._stalled_at = now
             last_tick_at = now
             self._usable.clear()
+            for link in (*self._inbound, *self._roster.dialled_links):
+                link.release_sent()
             if now - self._stalled_at > STALL_THRESHOLD_S:
                 self._roster.check(now)
             self._local.tick()
--- a/medlardoor/mesh/inbound_calls.py
+++ b/medlardoor/mesh/inbound_calls.py
@@ -1,12 +1,18 @@
 """Calls that another node sends on the link it has opened."""
 
 import asyncio
+import dataclasses
 
+import logbook
+
+from medlardoor import errors, logs
 from medlardoor.mesh import links, local_upstream, runs, statuses
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 __all__ = ["InboundCalls"]
 
+_LOG = logbook.Logger("links")
+
 
 class InboundCalls:
     """Runs the calls of one link on the local upstream, and answers them.
@@ -43,6 +49,8 @@
 
         def report(result: runs.RunResult) -> None:
             self._handles.pop(call_id, None)
+            if not self._link.may_send(len(result.body)):
+                result = self._without_response(call, result)
             answer = statuses.to_answer(call_id, result)
             self._may_be_unread |= self._link.send(ttypes.Frame(answer=answer))
 
@@ -53,6 +61,27 @@
         if call_id in self._handles:
             self._handles[call_id] = handle
 
+    def _without_response(
+        self, call: ttypes.RunCall, result: runs.RunResult
+    ) -> runs.RunResult:
+        """Drops a response for which the link has no room."""
+        logs.log_event(
+            _LOG,
+            logbook.WARNING,
+            "answer_dropped",
+            request_id=(call.attempt_id or b"").decode("latin-1"),
+            reason=errors.Reason.BUFFERS_FULL.value,
+            size=len(result.body),
+        )
+        return dataclasses.replace(
+            result,
+            outcome=errors.Outcome.UNKNOWN,
+            reason=errors.Reason.BUFFERS_FULL,
+            status=0,
+            headers=b"",
+            body=b"",
+        )
+
     def cancel(self, call_id: int) -> None:
         """Cancels a call whose result nobody waits for."""
         handle = self._handles.pop(call_id, None)
--- a/medlardoor/mesh/links.py
+++ b/medlardoor/mesh/links.py
@@ -7,11 +7,13 @@
 
 import abc
 import asyncio
+import collections
 import socket
 
 import logbook
 
 from medlardoor import lingering, logs
+from medlardoor.admission import link_budget
 from medlardoor.mesh import settings as settings_module
 from medlardoor.wire import frames
 from medlardoor.wire.generated.medlardoor_messages import ttypes
@@ -47,6 +49,7 @@
     Args:
         events: Receives the events of the link.
         settings: Limits of links.
+        budget: Counts large frames in the buffer budget.
         dialled_address: Address that this node has dialled; None if the other
             node has opened the connection.
     """
@@ -55,15 +58,23 @@
         self,
         events: LinkEvents,
         settings: settings_module.LinkSettings,
+        budget: link_budget.LinkBudget,
         dialled_address: settings_module.Address | None = None,
     ):
         self._events = events
         self._settings = settings
+        self._budget = budget
         self._dialled_address = dialled_address
         self._reader = frames.FrameReader(settings.max_frame_bytes)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._last_received_at = self._loop.time()
+        self._written_bytes = 0
+        # Large frames that the kernel has not taken: the number of bytes
+        # written up to their end, and their size. The transport keeps a frame
+        # until its last byte is sent.
+        self._unsent: collections.deque[tuple[int, int]] = collections.deque()
+        self._unsent_bytes = 0
 
     @property
     def dialled_address(self) -> settings_module.Address | None:
@@ -97,6 +108,26 @@
             lingering.undelivered_bytes(transport)
         )
 
+    def may_send(self, size: int) -> bool:
+        """Whether the buffer budget allows a frame.
+
+        Args:
+            size: Size of the body in the frame, in bytes.
+        """
+        return self._budget.may_send(size, self._unsent_bytes)
+
+    def release_sent(self) -> None:
+        """Releases the frames that the kernel has taken; called regularly."""
+        if not self._unsent:
+            return
+        sent_bytes = self._written_bytes
+        if self._transport is not None:
+            sent_bytes -= self._transport.get_write_buffer_size()
+        while self._unsent and self._unsent[0][0] <= sent_bytes:
+            _, size = self._unsent.popleft()
+            self._unsent_bytes -= size
+            self._budget.release_unsent(size)
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Configures the socket and reports the open link."""
         self._transport = transport
@@ -136,6 +167,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports the end of the connection."""
         self._transport = None
+        self.release_sent()
         self._events.link_closed(self)
 
     def send(self, frame: ttypes.Frame) -> bool:
@@ -146,7 +178,16 @@
         """
         if self._transport is None:
             return False
-        self._transport.write(frames.encode_frame(frame))
+        data = frames.encode_frame(frame)
+        self._transport.write(data)
+        size = len(data)
+        self._written_bytes += size
+        if size >= link_budget.COUNTED_BYTES:
+            self._unsent.append((self._written_bytes, size))
+            self._unsent_bytes += size
+            self._budget.add_unsent(size)
+            # What the kernel has not taken in this iteration waits.
+            self._loop.call_soon(self.release_sent)
         return True
 
     def abort(self) -> None:
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -102,6 +102,7 @@
         self._fleet = fleet.Fleet(
             settings,
             self._local,
+            self._buffers,
             self._holder,
             self._era,
             self._build_status,
--- a/medlardoor/mesh/peers.py
+++ b/medlardoor/mesh/peers.py
@@ -97,7 +97,12 @@
         """Sends a run to the node; see `RunTarget`."""
         handle = _PeerCall(self, run, report)
         link = self.link
-        if link is None or not link.is_open or link.is_congested:
+        if (
+            link is None
+            or not link.is_open
+            or link.is_congested
+            or not link.may_send(len(run.body))
+        ):
             handle.report(
                 runs.RunResult(
                     errors.Outcome.NOT_RUN, errors.Reason.NODE_UNREACHABLE
--- a/medlardoor/mesh/roster.py
+++ b/medlardoor/mesh/roster.py
@@ -7,6 +7,7 @@
 import logbook
 
 from medlardoor import logs
+from medlardoor.admission import link_budget
 from medlardoor.membership import neighbours
 from medlardoor.mesh import links as links_module
 from medlardoor.mesh import peers as peers_module
@@ -30,6 +31,7 @@
     Args:
         settings: Settings of the node.
         events: Receives the events of links.
+        budget: Counts large frames of links in the buffer budget.
         generator: Random number generator for the redial jitter.
     """
 
@@ -37,11 +39,13 @@
         self,
         settings: settings_module.MeshSettings,
         events: links_module.LinkEvents,
+        budget: link_budget.LinkBudget,
         generator: random.Random,
     ):
         self._settings = settings
         self._link_settings = settings.links
         self._events = events
+        self._budget = budget
         self._generator = generator
         self._loop = asyncio.get_running_loop()
         self._own_node = neighbours.KnownNode(
@@ -358,7 +362,9 @@
 
     async def _connect(self, peer: peers_module.Peer) -> None:
         address = peer.address
-        link = links_module.Link(self._events, self._link_settings, address)
+        link = links_module.Link(
+            self._events, self._link_settings, self._budget, address
+        )
         self._peers_by_link[link] = peer
         try:
             with anyio.fail_after(self._link_settings.connect_timeout_s):
--- a/medlardoor/mesh/tests/test_remote_upstream.py
+++ b/medlardoor/mesh/tests/test_remote_upstream.py
@@ -124,6 +124,9 @@
     def __init__(self):
         self.calls = []
 
+    def may_send(self, size):
+        return True
+
     def send(self, frame):
         self.calls.append(frame.call)
         return True
--- a/medlardoor/mesh/tests/test_roster.py
+++ b/medlardoor/mesh/tests/test_roster.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from medlardoor.admission import buffers, link_budget
 from medlardoor.membership import neighbours
 from medlardoor.mesh import roster, settings
 from medlardoor.mesh.tests import group as group_module
@@ -24,7 +25,12 @@
     """A roster with many nodes; its dials are recorded and never finish."""
     group = group_module.Group()
     member = group_module.Member(group, "own", "s0", "127.0.0.1")
-    node_roster = roster.Roster(member.settings, _Events(), random.Random(1))
+    node_roster = roster.Roster(
+        member.settings,
+        _Events(),
+        link_budget.LinkBudget(buffers.BufferBudget(1_000_000)),
+        random.Random(1),
+    )
     dialled = []
 
     def dial(peer):
