Count frames that are being received in the buffer budget

The decoder kept the last frame.

Change: a call or an answer of 64 KB or more needs space in the budget once its first bytes name the call. Without it a call is answered at once as not run, an answer ends its call with 502, and the rest of the frame is skipped.

--- a/medlardoor/admission/link_budget.py
+++ b/medlardoor/admission/link_budget.py
@@ -1,10 +1,12 @@
 """Accounting for large frames on links between nodes in the buffer budget.
 
 A node that stands still reads nothing, and what is sent to it is held by the
-sender.
+sender. A frame that is being received is held as well, before anything in it
+can be refused.
 """
 
 from medlardoor.admission import buffers as buffers_module
+from medlardoor.admission import levels
 
 __all__ = ["COUNTED_BYTES", "LinkBudget"]
 
@@ -65,3 +67,37 @@
         """
         self._unsent_bytes -= size
         self._buffers.release(size)
+
+    def try_receive_call(self, size: int) -> bool:
+        """Reserves space for a request that arrives from another node.
+
+        Its priority is behind its body in the frame, so the bound is that of
+        all but the lowest rank. The local upstream applies the bound of its
+        rank.
+
+        Args:
+            size: Size of the frame, in bytes.
+
+        Returns:
+            Whether the space was reserved.
+        """
+        return self._buffers.try_reserve_request(size, levels.LEVELS_PER_RANK)
+
+    def try_receive_answer(self, size: int) -> bool:
+        """Reserves space for an answer that arrives from another node.
+
+        Args:
+            size: Size of the frame, in bytes.
+
+        Returns:
+            Whether the space was reserved.
+        """
+        return self._buffers.try_reserve_response(size)
+
+    def release_received(self, size: int) -> None:
+        """Releases the space of a frame that was passed on or dropped.
+
+        Args:
+            size: Size of the frame, in bytes.
+        """
+        self._buffers.release(size)
--- a/medlardoor/admission/tests/test_link_budget.py
+++ b/medlardoor/admission/tests/test_link_budget.py
@@ -26,3 +26,15 @@
     budget.release_unsent(held)
     assert budget.may_send(LARGE, held)
     assert buffer_budget.used_bytes == 0
+
+
+def test_received_frames_count():
+    """Frames that are being received were not part of the buffer budget."""
+    buffer_budget, budget = _budget()
+    assert budget.try_receive_call(8 * LARGE)
+    assert not budget.try_receive_call(LARGE)
+    # An answer may use what requests may not: its work is already done.
+    assert budget.try_receive_answer(2 * LARGE)
+    assert not budget.try_receive_answer(1)
+    budget.release_received(10 * LARGE)
+    assert buffer_budget.used_bytes == 0
--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -8,7 +8,7 @@
 import anyio
 import logbook
 
-from medlardoor import logs
+from medlardoor import errors, logs
 from medlardoor.admission import buffers as buffers_module
 from medlardoor.admission import link_budget
 from medlardoor.membership import neighbours
@@ -27,6 +27,7 @@
 )
 from medlardoor.mesh import settings as settings_module
 from medlardoor.routing import placement
+from medlardoor.wire import frames
 from medlardoor.wire.generated.medlardoor_messages import ttypes
 
 __all__ = ["Fleet"]
@@ -237,6 +238,26 @@
             sender = None if peer is None else peer.instance
             self._events.message_received(link, sender, frame)
 
+    def frame_dropped(
+        self, link: links.Link, frame: frames.DroppedFrame
+    ) -> None:
+        """Ends a call for which there is no space; see `LinkEvents`."""
+        logs.log_event(
+            _LOG,
+            logbook.WARNING,
+            "frame_dropped",
+            call_id=frame.call_id,
+            is_answer=frame.is_answer,
+            size=frame.size,
+        )
+        reason = errors.Reason.BUFFERS_FULL
+        if frame.is_answer:
+            peer = self._roster.dialled_links.get(link)
+            if peer is not None:
+                peer.call_failed(frame.call_id, reason)
+        elif link in self._inbound:
+            self._inbound[link].refuse(frame.call_id, reason)
+
     def link_closed(self, link: links.Link) -> None:
         """Cancels runs requested on the link, or fails calls sent on it."""
         inbound = self._inbound.pop(link, None)
--- a/medlardoor/mesh/inbound_calls.py
+++ b/medlardoor/mesh/inbound_calls.py
@@ -82,6 +82,17 @@
             body=b"",
         )
 
+    def refuse(self, call_id: int, reason: errors.Reason) -> None:
+        """Answers a call that was not received, so that it has not run.
+
+        Args:
+            call_id: Identifier of the call on its link.
+            reason: Why it was not received.
+        """
+        refusal = runs.RunResult(errors.Outcome.NOT_RUN, reason)
+        answer = statuses.to_answer(call_id, refusal)
+        self._link.send(ttypes.Frame(answer=answer))
+
     def cancel(self, call_id: int) -> None:
         """Cancels a call whose result nobody waits for."""
         handle = self._handles.pop(call_id, None)
--- a/medlardoor/mesh/links.py
+++ b/medlardoor/mesh/links.py
@@ -38,11 +38,37 @@
     def frame_received(self, link: "Link", frame: ttypes.Frame) -> None:
         """Called with each message received."""
 
+    @abc.abstractmethod
+    def frame_dropped(self, link: "Link", frame: frames.DroppedFrame) -> None:
+        """Called for a call or an answer for which there was no space."""
+
     @abc.abstractmethod
     def link_closed(self, link: "Link") -> None:
         """Called when the connection has ended."""
 
 
+class _Admission(frames.FrameAdmission):
+    """Counts large frames that arrive in the buffer budget."""
+
+    def __init__(self, budget: link_budget.LinkBudget):
+        self._budget = budget
+
+    @property
+    def counted_bytes(self) -> int:
+        """Size from which on frames are counted; see `FrameAdmission`."""
+        return link_budget.COUNTED_BYTES
+
+    def try_receive(self, size: int, is_answer: bool) -> bool:
+        """Reserves space for a frame; see `FrameAdmission`."""
+        if is_answer:
+            return self._budget.try_receive_answer(size)
+        return self._budget.try_receive_call(size)
+
+    def release_received(self, size: int) -> None:
+        """Releases the space of a frame; see `FrameAdmission`."""
+        self._budget.release_received(size)
+
+
 class Link(asyncio.Protocol):
     """One connection between two nodes.
 
@@ -65,7 +91,9 @@
         self._settings = settings
         self._budget = budget
         self._dialled_address = dialled_address
-        self._reader = frames.FrameReader(settings.max_frame_bytes)
+        self._reader = frames.FrameReader(
+            settings.max_frame_bytes, _Admission(budget)
+        )
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._last_received_at = self._loop.time()
@@ -157,10 +185,13 @@
         for frame in received.ok_value:
             self._handle(frame)
 
-    def _handle(self, frame: ttypes.Frame) -> None:
+    def _handle(self, frame: ttypes.Frame | frames.DroppedFrame) -> None:
         """Passes on a message; an exception does not close the link."""
         try:
-            self._events.frame_received(self, frame)
+            if isinstance(frame, frames.DroppedFrame):
+                self._events.frame_dropped(self, frame)
+            else:
+                self._events.frame_received(self, frame)
         except Exception as error:  # noqa: BLE001
             logs.log_exception(_LOG, "frame_failed", error)
 
@@ -168,6 +199,7 @@
         """Reports the end of the connection."""
         self._transport = None
         self.release_sent()
+        self._reader.close()
         self._events.link_closed(self)
 
     def send(self, frame: ttypes.Frame) -> bool:
--- a/medlardoor/mesh/peers.py
+++ b/medlardoor/mesh/peers.py
@@ -209,6 +209,19 @@
             self._observe_response(result, handle.sent_at)
             handle.report(result)
 
+    def call_failed(self, call_id: int, reason: errors.Reason) -> None:
+        """Reports that the answer to a call was not received.
+
+        Args:
+            call_id: Identifier of the call on its link.
+            reason: Why it was not received.
+        """
+        handle = self.outstanding_calls.pop(call_id, None)
+        if handle is not None:
+            handle.report(
+                runs.RunResult(errors.Outcome.UNKNOWN, reason, offered=True)
+            )
+
     def _observe_response(self, result: runs.RunResult, sent_at: float) -> None:
         """Remembers what a response says of the upstream."""
         if result.outcome is errors.Outcome.ANSWERED and self.status:
--- a/medlardoor/wire/codec.py
+++ b/medlardoor/wire/codec.py
@@ -57,6 +57,9 @@
     return fastbinary.encode_compact(struct, [kind, kind.thrift_spec])
 
 
+_NO_DATA = TTransport.TMemoryBuffer()
+
+
 class Decoder:
     """Decodes structs and limits the lengths of the values in them.
 
@@ -94,6 +97,9 @@
             # as EOFError, struct.error, UnicodeDecodeError and
             # RecursionError.
             return result.Err(MalformedMessage(type(error).__name__))
+        finally:
+            # The protocol would keep the data until the next struct.
+            self._protocol.trans = _NO_DATA
         return result.Ok(struct)
 
 
