Let a link from which the other node reads hold more frames

Change: a link on which the kernel has taken bytes within the last second may hold frames up to 0.8 of the budget over all links; the half stays for one that has stalled.

--- a/medlardoor/admission/link_budget.py
+++ b/medlardoor/admission/link_budget.py
@@ -14,9 +14,15 @@
 # bounded by the number of requests in progress.
 COUNTED_BYTES = 65_536
 
-# Share of the buffer budget that unsent frames may take. The rest is for the
-# requests and responses that do not wait for a slow link.
-UNSENT_SHARE = 0.5
+# Shares of the buffer budget up to which unsent frames are added on a link from
+# which the other node reads, and on one that has stalled. The rest is for the
+# requests and responses that do not wait for such a link.
+UNSENT_SHARE = 0.8
+STALLED_SHARE = 0.5
+
+# Time without progress, in seconds, after which a link counts as stalled. A
+# process on a busy machine may stand still for shorter.
+STALL_S = 1.0
 
 
 class LinkBudget:
@@ -35,7 +41,9 @@
         """Bytes of large frames that the kernel has not taken."""
         return self._unsent_bytes
 
-    def may_send(self, size: int, link_unsent_bytes: int) -> bool:
+    def may_send(
+        self, size: int, link_unsent_bytes: int, still_s: float
+    ) -> bool:
         """Whether a frame may be sent on a link.
 
         A frame is always sent on a link that holds no large one: it has not
@@ -44,10 +52,13 @@
         Args:
             size: Size of the body in the frame, in bytes.
             link_unsent_bytes: Bytes of large frames that the link holds.
+            still_s: Time since the kernel has taken any bytes of them, in
+                seconds.
         """
         if size < COUNTED_BYTES or not link_unsent_bytes:
             return True
-        limit_bytes = self._buffers.limit_bytes * UNSENT_SHARE
+        share = UNSENT_SHARE if still_s < STALL_S else STALLED_SHARE
+        limit_bytes = self._buffers.limit_bytes * share
         return self._unsent_bytes + size <= limit_bytes
 
     def add_unsent(self, size: int) -> None:
--- a/medlardoor/mesh/links.py
+++ b/medlardoor/mesh/links.py
@@ -103,6 +103,9 @@
         # until its last byte is sent.
         self._unsent: collections.deque[tuple[int, int]] = collections.deque()
         self._unsent_bytes = 0
+        # Bytes that the kernel has taken, and when it last took some.
+        self._sent_bytes = 0
+        self._progress_at = 0.0
 
     @property
     def dialled_address(self) -> settings_module.Address | None:
@@ -142,7 +145,8 @@
         Args:
             size: Size of the body in the frame, in bytes.
         """
-        return self._budget.may_send(size, self._unsent_bytes)
+        still_s = self._loop.time() - self._progress_at
+        return self._budget.may_send(size, self._unsent_bytes, still_s)
 
     def release_sent(self) -> None:
         """Releases the frames that the kernel has taken; called regularly."""
@@ -151,6 +155,9 @@
         sent_bytes = self._written_bytes
         if self._transport is not None:
             sent_bytes -= self._transport.get_write_buffer_size()
+        if sent_bytes > self._sent_bytes:
+            self._sent_bytes = sent_bytes
+            self._progress_at = self._loop.time()
         while self._unsent and self._unsent[0][0] <= sent_bytes:
             _, size = self._unsent.popleft()
             self._unsent_bytes -= size
@@ -215,6 +222,9 @@
         size = len(data)
         self._written_bytes += size
         if size >= link_budget.COUNTED_BYTES:
+            if not self._unsent:
+                self._sent_bytes = self._written_bytes - size
+                self._progress_at = self._loop.time()
             self._unsent.append((self._written_bytes, size))
             self._unsent_bytes += size
             self._budget.add_unsent(size)
