--- a/review/stand_ins_3/upstream.py
+++ b/review/stand_ins_3/upstream.py
@@ -9,7 +9,7 @@
 
 import http_server
 
-__all__ = ["Server", "call", "read_response"]
+__all__ = ["Server", "call", "read_response", "seal_of"]
 
 BEAT_INTERVAL_S = 1.5
 # Time in which a heartbeat must be answered, in seconds.
@@ -67,6 +67,11 @@
     return int(first.split(" ")[1]), headers, body
 
 
+def seal_of(body: bytes) -> str:
+    """Returns the seal of an answer with a body."""
+    return hashlib.sha256(body).hexdigest()
+
+
 class Server:
     """One start of a server; it runs each request after a pause.
 
@@ -218,12 +223,16 @@
         writer.write(self.answer(attempt))
         await writer.drain()
 
+    def body_for(self, attempt: str) -> bytes:
+        """Returns the body of the answer to a request."""
+        return f"answer to {attempt} by {self.upstream_id}\n".encode()
+
     def answer(self, attempt: str) -> bytes:
         """Returns the answer to a request that has run."""
-        body = f"answer to {attempt} by {self.upstream_id}\n".encode()
+        body = self.body_for(attempt)
         headers = [
             ("X-Medlardoor-Attempt-Id", attempt),
-            ("X-Medlardoor-Response-Seal", hashlib.sha256(body).hexdigest()),
+            ("X-Medlardoor-Response-Seal", seal_of(body)),
             ("X-Medlardoor-Instance-Load", f"1,0,{self.slots}"),
             *self.headers,
         ]
