Require the marks of the upstream in its responses

Cause: the first response on a connection was taken for the upstream's own if it had no attempt identifier, whatever its status; nothing read the seal. Beside it, 408, 429 and 503 were passed on although the upstream had not said "not run".

Change: a success needs the seal, a 421 the identifier of the attempt or the upstream, a rejection its "not run", any other failure the identifier or the seal (mesh/response_origin). Without them the exchange is broken as "unverified", and nothing in it is read as a report of the upstream.

Why it works: only the upstream sets these headers, and each claim needs the header that the pages tie to it.

--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -16,6 +16,7 @@
     crashes,
     local_run,
     response_observer,
+    response_origin,
     run_requests,
     run_results,
     runs,
@@ -80,10 +81,11 @@
             self._admission_queue,
             report_change,
         )
+        self._marks = response_origin.ResponseMarks(settings.headers)
         self._pool = upstream_pool.UpstreamPool(
             settings.connections,
             settings.upstream,
-            settings.headers.attempt_id.lower(),
+            self._marks,
             buffers,
         )
         self._crash_probe = crash_probe.CrashProbe(
@@ -342,12 +344,12 @@
         """Converts a response of the upstream to the result of a run."""
         attempt_id = handle.run.attempt_id
         self._observer.observe_load(response)
-        if response.status == response_observer.MISDIRECTED_STATUS:
+        if response.status == response_origin.MISDIRECTED_STATUS:
             self._started_attempts.pop(attempt_id, None)
             self._discard_upstream(handle.sent_to)
             return self._refusal(errors.Reason.NO_UPSTREAM)
         result = run_results.from_response(
-            response, self._headers, self._admission_queue
+            response, self._headers, self._marks, self._admission_queue
         )
         if result.outcome is errors.Outcome.NOT_RUN:
             self._started_attempts.pop(attempt_id, None)
--- a/medlardoor/mesh/response_observer.py
+++ b/medlardoor/mesh/response_observer.py
@@ -8,17 +8,19 @@
 from medlardoor import logs
 from medlardoor.admission import waiting
 from medlardoor.membership import announcements
-from medlardoor.mesh import http_messages, limit_log, upstream_connection
+from medlardoor.mesh import (
+    http_messages,
+    limit_log,
+    response_origin,
+    upstream_connection,
+)
 from medlardoor.mesh import settings as settings_module
 from medlardoor.routing import speeds
 
-__all__ = ["MISDIRECTED_STATUS", "ResponseObserver"]
+__all__ = ["ResponseObserver"]
 
 _LOG = logbook.Logger("upstream")
 
-# Status of an upstream that is not the expected one.
-MISDIRECTED_STATUS = 421
-
 # Value of the header of an upstream that is about to stop.
 LEAVING_VALUE = b"1"
 
@@ -75,7 +77,7 @@
         """
         current = self._register.current
         if (
-            response.status == MISDIRECTED_STATUS
+            response.status == response_origin.MISDIRECTED_STATUS
             or current is None
             or not current.is_same_start(sent_to)
         ):
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -43,6 +43,7 @@
         deadline_ms: Time for which the caller waits, in milliseconds.
         seal: Set by an upstream on each response that it generates.
         expected_upstream: Identifier of the upstream that the request is for.
+        upstream_id: Identifier of the upstream that sends the response.
         load: Running requests, waiting requests and slots of the upstream.
         not_run: Set by an upstream that did not run the request.
         caller_service: Service that sends the request.
@@ -61,6 +62,7 @@
     deadline_ms: bytes
     seal: bytes
     expected_upstream: bytes
+    upstream_id: bytes
     load: bytes
     not_run: bytes
     caller_service: bytes
--- a/medlardoor/mesh/tests/group.py
+++ b/medlardoor/mesh/tests/group.py
@@ -29,6 +29,7 @@
     deadline_ms=b"X-Deadline",
     seal=b"X-Seal",
     expected_upstream=b"X-Expect",
+    upstream_id=b"X-Upstream",
     load=b"X-Load",
     not_run=b"X-Not-Run",
     caller_service=b"X-Caller",
@@ -127,7 +128,8 @@
 
     def handle(self, request, reply):
         if request.header(b"x-expect") != self.upstream_id.encode():
-            reply(handlers.Response(421))
+            own_id = b"X-Upstream: %b\r\n" % self.upstream_id.encode()
+            reply(handlers.Response(421, own_id))
             return None
         attempt_id = request.header(b"x-attempt")
         if self.remaining_sheds:
--- a/medlardoor/mesh/tests/test_body_memory.py
+++ b/medlardoor/mesh/tests/test_body_memory.py
@@ -9,10 +9,12 @@
 from medlardoor.config import routes
 from medlardoor.mesh import (
     handlers,
+    response_origin,
     server_connection,
     settings,
     upstream_connection,
 )
+from medlardoor.mesh.tests import group
 
 BUFFER_BYTES = 64_000_000
 READ_BYTES = 65_536
@@ -91,10 +93,12 @@
     def __init__(self):
         budget = buffers.BufferBudget(BUFFER_BYTES)
         connection = upstream_connection.UpstreamConnection(
-            settings.UpstreamSettings(), b"x-attempt", budget
+            settings.UpstreamSettings(),
+            response_origin.ResponseMarks(group.HEADERS),
+            budget,
         )
         head = (
-            b"HTTP/1.1 200 OK\r\nX-Attempt: a1\r\n"
+            b"HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n"
         )
         super().__init__(connection, budget, head)
--- a/medlardoor/mesh/tests/test_fuzz.py
+++ b/medlardoor/mesh/tests/test_fuzz.py
@@ -68,13 +68,13 @@
                 if not exchange.is_usable():
                     return
                 exchange.send(b"id-%d" % number)
-            header = b"X-Attempt: id-%d\r\n" % number
+            header = b"X-Attempt: id-%d\r\nX-Seal: s\r\n" % number
             data = interim + _framed(
                 b"HTTP/1.1 200 OK\r\n", header, body, is_chunked
             )
             is_last = number == len(sent_responses)
             if has_late_responses and number > 1:
-                earlier = b"X-Attempt: id-%d\r\n" % (number - 1)
+                earlier = b"X-Attempt: id-%d\r\nX-Seal: s\r\n" % (number - 1)
                 data = (
                     _framed(b"HTTP/1.1 200 OK\r\n", earlier, b"old", False)
                     + data
@@ -89,6 +89,8 @@
                 for answer in received[known:]:
                     named = answer.header(b"x-attempt")
                     assert named == b"id-%d" % number or number == 1
+                    is_sealed = answer.header(b"x-seal") is not None
+                    assert is_sealed or not 200 <= answer.status < 300
             else:
                 assert [a.body for a in received[known:]] == [body]
             assert len(exchange.events.breaks) <= 1
@@ -108,7 +110,10 @@
     async def main():
         exchange = test_upstream_connection._Exchange()
         whole = _framed(
-            b"HTTP/1.1 200 OK\r\n", b"X-Attempt: id-1\r\n", body, is_chunked
+            b"HTTP/1.1 200 OK\r\n",
+            b"X-Attempt: id-1\r\nX-Seal: s\r\n",
+            body,
+            is_chunked,
         )
         cut = data.draw(strategies.integers(0, len(whole) - 1))
         exchange.receive(whole[:cut])
--- a/medlardoor/mesh/tests/test_upstream_connection.py
+++ b/medlardoor/mesh/tests/test_upstream_connection.py
@@ -5,10 +5,13 @@
 import pytest
 
 from medlardoor.admission import buffers
-from medlardoor.mesh import settings, upstream_connection
+from medlardoor.mesh import response_origin, settings, upstream_connection
+from medlardoor.mesh.tests import group
 
 BreakReason = upstream_connection.BreakReason
 
+_WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\nX-Seal: s\r\n\r\nabc"
+
 
 class _Transport:
     def __init__(self):
@@ -46,7 +49,9 @@
         self.events = _Events()
         self.buffers = buffers.BufferBudget(1_000_000)
         self.connection = upstream_connection.UpstreamConnection(
-            settings.UpstreamSettings(), b"x-attempt", self.buffers
+            settings.UpstreamSettings(),
+            response_origin.ResponseMarks(group.HEADERS),
+            self.buffers,
         )
         self.connection.connection_made(self.transport)
         self.send(b"id-1")
@@ -77,8 +82,8 @@
 
 def _response(attempt_id=b"id-1", body=b"done", extra=b""):
     return (
-        b"HTTP/1.1 200 OK\r\nX-Attempt: %b\r\n%bContent-Length: %d\r\n\r\n%b"
-        % (attempt_id, extra, len(body), body)
+        b"HTTP/1.1 200 OK\r\nX-Attempt: %b\r\nX-Seal: s\r\n"
+        b"%bContent-Length: %d\r\n\r\n%b" % (attempt_id, extra, len(body), body)
     )
 
 
@@ -111,7 +116,7 @@
     """The end of the stream completes a response without a length."""
 
     def check(exchange):
-        exchange.receive(b"HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\n\r\nabc")
+        exchange.receive(_WITHOUT_LENGTH)
         assert exchange.events.answers == []
         exchange.connection.eof_received()
         assert exchange.events.answers[0].body == b"abc"
@@ -124,7 +129,7 @@
     """A reset must not complete a response without a length."""
 
     def check(exchange):
-        exchange.receive(b"HTTP/1.1 200 OK\r\nX-Attempt: id-1\r\n\r\nabc")
+        exchange.receive(_WITHOUT_LENGTH)
         exchange.connection.connection_lost(ConnectionResetError())
         assert exchange.events.answers == []
         assert exchange.events.breaks == [BreakReason.RESET]
@@ -224,7 +229,8 @@
         exchange.receive(_response())
         exchange.send(b"id-2", has_no_body=True)
         exchange.receive(
-            b"HTTP/1.1 200 OK\r\nX-Attempt: id-2\r\nContent-Length: 9\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nX-Attempt: id-2\r\nX-Seal: s\r\n"
+            b"Content-Length: 9\r\n\r\n"
         )
         assert exchange.events.answers[1].body == b""
 
--- a/medlardoor/mesh/tests/test_upstream_pool.py
+++ b/medlardoor/mesh/tests/test_upstream_pool.py
@@ -6,10 +6,18 @@
 import pytest
 
 from medlardoor.admission import buffers
-from medlardoor.mesh import settings, upstream_connection, upstream_pool
+from medlardoor.mesh import (
+    response_origin,
+    settings,
+    upstream_connection,
+    upstream_pool,
+)
+from medlardoor.mesh.tests import group
 
 pytestmark = pytest.mark.anyio
 
+MARKS = response_origin.ResponseMarks(group.HEADERS)
+
 
 class _Transport:
     def abort(self):
@@ -42,7 +50,7 @@
 
 def _make_connection():
     connection = upstream_connection.UpstreamConnection(
-        settings.UpstreamSettings(), b"x-attempt", buffers.BufferBudget(1_000)
+        settings.UpstreamSettings(), MARKS, buffers.BufferBudget(1_000)
     )
     connection.connection_made(_Transport())
     return connection
@@ -86,6 +94,6 @@
     return upstream_pool.UpstreamPool(
         settings.UpstreamSettings(**changes),
         settings.Address("127.0.0.1", 1),
-        b"x-attempt",
+        MARKS,
         buffers.BufferBudget(1_000),
     )
--- a/medlardoor/mesh/tests/test_upstream_statuses.py
+++ b/medlardoor/mesh/tests/test_upstream_statuses.py
@@ -31,8 +31,8 @@
 
 def _response(status):
     return (
-        b"HTTP/1.1 %b Odd\r\nX-Attempt: %%b\r\nContent-Length: 0\r\n"
-        b"Connection: close\r\n\r\n" % status
+        b"HTTP/1.1 %b Odd\r\nX-Attempt: %%b\r\nX-Seal: s\r\n"
+        b"Content-Length: 0\r\nConnection: close\r\n\r\n" % status
     )
 
 
--- a/medlardoor/mesh/upstream_connection.py
+++ b/medlardoor/mesh/upstream_connection.py
@@ -9,7 +9,7 @@
 
 from medlardoor.admission import body_buffer
 from medlardoor.admission import buffers as buffers_module
-from medlardoor.mesh import http_messages
+from medlardoor.mesh import http_messages, response_origin
 from medlardoor.mesh import settings as settings_module
 from medlardoor.wire import ranges
 
@@ -39,6 +39,7 @@
     ANSWER_TOO_LONG = "answer_too_long"
     BUFFERS_FULL = "buffers_full"
     NO_IDENTIFIER = "no_identifier"
+    UNVERIFIED = "unverified"
     OVERDUE = "overdue"
 
 
@@ -104,19 +105,18 @@
 
     Args:
         settings: Limits of connections.
-        attempt_header: Name of the header with the attempt identifier, in
-            lower case.
+        marks: Tells whether the upstream itself generated a response.
         buffers: Budget for the bytes of bodies held in memory.
     """
 
     def __init__(
         self,
         settings: settings_module.UpstreamSettings,
-        attempt_header: bytes,
+        marks: response_origin.ResponseMarks,
         buffers: buffers_module.BufferBudget,
     ):
         self._settings = settings
-        self._attempt_header = attempt_header
+        self._marks = marks
         self._buffers = buffers
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -321,18 +321,18 @@
             self._parser.get_status_code(), self._headers, self._body.take()
         )
         self._headers = []
-        response_attempt_id = response.header(self._attempt_header)
-        if response_attempt_id != self._attempt_id:
-            if response_attempt_id is None and self._requests_sent == 1:
-                # The first response on a connection can only be to its request.
-                pass
-            elif response_attempt_id is None or self._must_close:
+        attempt_id = response.header(self._marks.attempt_header)
+        if attempt_id is None and self._requests_sent > 1:
+            # It may be a duplicate response to an earlier request.
+            self._abort_exchange(BreakReason.NO_IDENTIFIER)
+        elif attempt_id not in (None, self._attempt_id):
+            if self._must_close:
                 self._abort_exchange(BreakReason.NO_IDENTIFIER)
-                return
-            else:
-                self._must_close = True
-                return
-        self._response = response
+            self._must_close = True
+        elif self._marks.show_origin(response.status, response.headers):
+            self._response = response
+        else:
+            self._abort_exchange(BreakReason.UNVERIFIED)
 
     def _report(self) -> None:
         """Reports the complete response."""
--- a/medlardoor/mesh/upstream_pool.py
+++ b/medlardoor/mesh/upstream_pool.py
@@ -6,8 +6,8 @@
 import anyio
 
 from medlardoor.admission import buffers as buffers_module
+from medlardoor.mesh import response_origin, upstream_connection
 from medlardoor.mesh import settings as settings_module
-from medlardoor.mesh import upstream_connection
 
 __all__ = ["UpstreamPool"]
 
@@ -18,7 +18,7 @@
     Args:
         settings: Limits of connections.
         address: Address of the upstream.
-        attempt_header: Name of the header with the attempt identifier.
+        marks: Tells whether the upstream itself generated a response.
         buffers: Budget for the bytes of bodies held in memory.
     """
 
@@ -26,12 +26,12 @@
         self,
         settings: settings_module.UpstreamSettings,
         address: settings_module.Address,
-        attempt_header: bytes,
+        marks: response_origin.ResponseMarks,
         buffers: buffers_module.BufferBudget,
     ):
         self._settings = settings
         self._address = address
-        self._attempt_header = attempt_header
+        self._marks = marks
         self._buffers = buffers
         self._idle: list[upstream_connection.UpstreamConnection] = []
         self._opened = 0
@@ -135,5 +135,5 @@
 
     def _make_connection(self) -> upstream_connection.UpstreamConnection:
         return upstream_connection.UpstreamConnection(
-            self._settings, self._attempt_header, self._buffers
+            self._settings, self._marks, self._buffers
         )
--- a/medlardoor/platform/names.py
+++ b/medlardoor/platform/names.py
@@ -17,6 +17,7 @@
     deadline_ms=b"X-Medlardoor-Deadline-Ms",
     seal=b"X-Medlardoor-Response-Seal",
     expected_upstream=b"X-Medlardoor-Expect-Instance",
+    upstream_id=b"X-Medlardoor-Instance-Id",
     load=b"X-Medlardoor-Instance-Load",
     not_run=b"X-Medlardoor-Not-Executed",
     caller_service=b"X-Medlardoor-Caller-Service",
