Record the departure of the start that its message names

What callers saw: an upstream that started again under its identifier and deregistered was used again when its first heartbeat arrived late.

Cause: the register accepted a deregistration of a start later than the known one, and recorded it as the departure of the known one. The late heartbeat was then of a later start. The store and the other nodes got the same departure. Ruled out: a later start time in the heartbeat (the record has one for both messages) and a restart of the node (there is none).

Change: the departure is that of the start in the message, also while an earlier one is leaving. A leaving that only responses name holds back later starts of the identifier for 30 s, since the response does not name its start. A departure of another upstream no longer marks the one in use as up.

--- a/medlardoor/membership/announcements.py
+++ b/medlardoor/membership/announcements.py
@@ -3,9 +3,10 @@
 import dataclasses
 import enum
 
+from medlardoor.membership import departures
+
 __all__ = [
     "Announcement",
-    "Departure",
     "UpstreamChange",
     "UpstreamRegister",
 ]
@@ -14,6 +15,11 @@
 # sees far fewer starts than this within the delay of a heartbeat.
 MAX_LEFT_UPSTREAMS = 64
 
+# Time for which a later start is not used after a response has said that the
+# upstream leaves, in seconds. The response does not name its start, and a
+# heartbeat sent before it can be delayed by seconds.
+LEAVING_HOLD_S = 30.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
@@ -45,24 +51,11 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Departure:
-    """Announced end of an upstream.
-
-    Attributes:
-        upstream_id: Identifier of the upstream.
-        born_ms: Its start, as in `Announcement`.
-    """
-
-    upstream_id: str
-    born_ms: int
-
-
 class UpstreamChange(enum.Enum):
     """Effect of an announcement on the state of the upstream.
 
-    ``LEFT`` is the departure of an upstream that this node did not know, as
-    after a restart of the node.
+    ``LEFT`` is the departure of an upstream that is not the one in use, as
+    after a restart of the node. The one in use is not affected.
     """
 
     NONE = "none"
@@ -85,9 +78,13 @@
     def __init__(self):
         self._current: Announcement | None = None
         self._is_leaving = False
-        self._left_start_ms: dict[str, int] = {}
-        self._last_departure: Departure | None = None
+        self._departures = departures.DepartureList(MAX_LEFT_UPSTREAMS)
+        self._last_departure: departures.Departure | None = None
         self._cold_until = 0.0
+        # Upstream that leaves as its responses say, until a message that names
+        # its start, and when the hold on its later starts ends.
+        self._held_id = ""
+        self._held_until = 0.0
 
     @property
     def current(self) -> Announcement | None:
@@ -105,7 +102,7 @@
         return self._current is not None and not self._is_leaving
 
     @property
-    def last_departure(self) -> Departure | None:
+    def last_departure(self) -> departures.Departure | None:
         """Departure that the last ``LEAVING`` or ``LEFT`` was about."""
         return self._last_departure
 
@@ -139,8 +136,10 @@
         ):
             return UpstreamChange.OUTDATED
         self._current = announcement
-        if announcement.draining and not self._is_leaving:
-            return self._leave()
+        if announcement.draining:
+            self._held_id = ""
+            if not self._is_leaving:
+                return self._leave(current.born_ms)
         return UpstreamChange.NONE
 
     def deregister(self, upstream_id: str, born_ms: int) -> UpstreamChange:
@@ -152,18 +151,31 @@
                 time if the message has none.
         """
         current = self._current
-        if current is None:
-            self._record_departure(upstream_id, born_ms)
-            self._last_departure = Departure(upstream_id, born_ms)
-            return UpstreamChange.LEFT
-        if current.upstream_id != upstream_id:
-            self._record_departure(upstream_id, born_ms)
-            return UpstreamChange.NONE
+        if current is None or current.upstream_id != upstream_id:
+            is_new = self._record_departure(upstream_id, born_ms)
+            return UpstreamChange.LEFT if is_new else UpstreamChange.OUTDATED
         if born_ms < current.born_ms:
             return UpstreamChange.OUTDATED
+        self._held_id = ""
+        # A start that has not been announced yet may leave, and be announced
+        # by a late heartbeat after that.
+        return self._leave(born_ms)
+
+    def record_leaving(self, upstream_id: str, now: float) -> UpstreamChange:
+        """Applies a response that says that its upstream leaves.
+
+        Args:
+            upstream_id: Identifier of the upstream.
+            now: Current time, in seconds.
+        """
+        current = self._current
+        if current is None or current.upstream_id != upstream_id:
+            return UpstreamChange.OUTDATED
         if self._is_leaving:
             return UpstreamChange.NONE
-        return self._leave()
+        self._held_id = upstream_id
+        self._held_until = now + LEAVING_HOLD_S
+        return self._leave(current.born_ms)
 
     def restore_departure(self, upstream_id: str, born_ms: int) -> None:
         """Restores a departure that an earlier process of this node stored.
@@ -192,19 +204,27 @@
     def _start(self, announcement: Announcement, now: float) -> UpstreamChange:
         if self._has_left(announcement):
             return UpstreamChange.OUTDATED
+        is_held = announcement.upstream_id == self._held_id
+        if is_held and not announcement.draining and now < self._held_until:
+            return UpstreamChange.OUTDATED
+        self._held_id = ""
         self._current = announcement
         self._is_leaving = False
         self._cold_until = now + announcement.cold_s
         if announcement.draining:
-            return self._leave()
+            return self._leave(announcement.born_ms)
         return UpstreamChange.STARTED
 
-    def _leave(self) -> UpstreamChange:
+    def _leave(self, born_ms: int) -> UpstreamChange:
+        """Ends the use of the current upstream.
+
+        Args:
+            born_ms: Start that leaves: that of the current upstream or a later
+                one under its identifier.
+        """
         self._is_leaving = True
-        current = self._current
-        self._record_departure(current.upstream_id, current.born_ms)
-        self._last_departure = Departure(current.upstream_id, current.born_ms)
-        return UpstreamChange.LEAVING
+        is_new = self._record_departure(self._current.upstream_id, born_ms)
+        return UpstreamChange.LEAVING if is_new else UpstreamChange.NONE
 
     def _is_newer_start(
         self, announcement: Announcement, current: Announcement
@@ -218,11 +238,14 @@
         )
 
     def _has_left(self, announcement: Announcement) -> bool:
-        left = self._left_start_ms.get(announcement.upstream_id)
-        return left is not None and announcement.born_ms <= left
-
-    def _record_departure(self, upstream_id: str, born_ms: int) -> None:
-        known = self._left_start_ms.get(upstream_id, 0)
-        self._left_start_ms[upstream_id] = max(known, born_ms)
-        if len(self._left_start_ms) > MAX_LEFT_UPSTREAMS:
-            del self._left_start_ms[next(iter(self._left_start_ms))]
+        return self._departures.includes(
+            announcement.upstream_id, announcement.born_ms
+        )
+
+    def _record_departure(self, upstream_id: str, born_ms: int) -> bool:
+        """Records a departure; returns whether it was not known."""
+        departure = departures.Departure(upstream_id, born_ms)
+        is_new = self._departures.add(departure)
+        if is_new:
+            self._last_departure = departure
+        return is_new
--- a/medlardoor/membership/tests/test_announcements.py
+++ b/medlardoor/membership/tests/test_announcements.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from medlardoor.membership import announcements
+from medlardoor.membership import announcements, departures
 
 UpstreamChange = announcements.UpstreamChange
 
@@ -102,3 +102,87 @@
     register.apply_heartbeat(beat, 10.0)
     assert register.cold_s(11.0) == pytest.approx(2.0)
     assert register.cold_s(20.0) == 0.0
+
+
+def test_departure_of_a_start_not_yet_announced_is_its_own(register):
+    """A late first heartbeat brought back a start that had deregistered.
+
+    Its departure was recorded as that of the start before it, which had the
+    same identifier.
+    """
+    register.apply_heartbeat(_heartbeat(born_ms=1_000, sequence=9), 0.0)
+    assert register.deregister("i-1", 2_000) is UpstreamChange.LEAVING
+    assert register.last_departure == departures.Departure("i-1", 2_000)
+    late = _heartbeat(born_ms=2_000, sequence=1)
+    assert register.apply_heartbeat(late, 0.0) is UpstreamChange.OUTDATED
+    assert not register.is_usable
+    later = _heartbeat(born_ms=3_000, sequence=1)
+    assert register.apply_heartbeat(later, 0.0) is UpstreamChange.RESTARTED
+    assert register.is_usable
+
+
+def test_departure_of_a_later_start_counts_beside_one_that_has_left(register):
+    """A second departure under one identifier was dropped as a repetition."""
+    register.apply_heartbeat(_heartbeat(draining=True), 0.0)
+    assert register.deregister("i-1", 1_000) is UpstreamChange.NONE
+    assert register.deregister("i-1", 2_000) is UpstreamChange.LEAVING
+    assert register.last_departure == departures.Departure("i-1", 2_000)
+    register.apply_heartbeat(_heartbeat(born_ms=2_000), 0.0)
+    assert not register.is_usable
+
+
+def test_departure_of_another_upstream_is_reported(register):
+    """A departure was acknowledged, and lost with the process of the node."""
+    register.apply_heartbeat(_heartbeat("i-1", born_ms=1_000), 0.0)
+    assert register.deregister("i-2", 2_000) is UpstreamChange.LEFT
+    assert register.last_departure == departures.Departure("i-2", 2_000)
+    assert register.deregister("i-2", 2_000) is UpstreamChange.OUTDATED
+    assert register.is_usable
+
+
+def test_leaving_named_by_a_response_holds_back_a_late_heartbeat(register):
+    """A late heartbeat brought back a start whose responses said it leaves.
+
+    The response does not name its start, so it could be one not yet announced.
+    """
+    register.apply_heartbeat(_heartbeat(born_ms=1_000, sequence=5), 0.0)
+    assert register.record_leaving("i-1", 10.0) is UpstreamChange.LEAVING
+    assert register.record_leaving("i-1", 20.0) is UpstreamChange.NONE
+    late = _heartbeat(born_ms=2_000, sequence=1)
+    assert register.apply_heartbeat(late, 39.0) is UpstreamChange.OUTDATED
+    assert not register.is_usable
+    register.apply_heartbeat(_heartbeat(born_ms=2_000, sequence=9), 41.0)
+    assert register.is_usable
+
+
+def test_hold_after_a_leaving_is_for_its_identifier_alone(register):
+    """The upstream that took over the address stayed unused."""
+    register.apply_heartbeat(_heartbeat(born_ms=1_000, sequence=5), 0.0)
+    register.record_leaving("i-1", 10.0)
+    register.apply_heartbeat(_heartbeat("i-2", born_ms=2_000), 11.0)
+    assert register.is_usable
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_announced_departure_ends_the_hold(register, is_draining):
+    """The next start stayed unused although the departed one was named."""
+    register.apply_heartbeat(_heartbeat(born_ms=1_000, sequence=5), 0.0)
+    register.record_leaving("i-1", 10.0)
+    if is_draining:
+        register.apply_heartbeat(_heartbeat(sequence=6, draining=True), 11.0)
+    else:
+        register.deregister("i-1", 1_000)
+    register.apply_heartbeat(_heartbeat(born_ms=2_000, sequence=1), 12.0)
+    assert register.is_usable
+
+
+def test_held_start_that_drains_has_left(register):
+    """A departure during the hold was dropped."""
+    register.apply_heartbeat(_heartbeat(born_ms=1_000, sequence=5), 0.0)
+    register.record_leaving("i-1", 10.0)
+    draining = _heartbeat(born_ms=2_000, sequence=2, draining=True)
+    assert register.apply_heartbeat(draining, 11.0) is UpstreamChange.LEAVING
+    register.apply_heartbeat(_heartbeat(born_ms=2_000, sequence=1), 60.0)
+    assert not register.is_usable
+    register.apply_heartbeat(_heartbeat(born_ms=3_000, sequence=1), 60.0)
+    assert register.is_usable
--- a/medlardoor/mesh/fleet.py
+++ b/medlardoor/mesh/fleet.py
@@ -11,7 +11,7 @@
 from medlardoor import errors, logs
 from medlardoor.admission import buffers as buffers_module
 from medlardoor.admission import link_budget
-from medlardoor.membership import neighbours
+from medlardoor.membership import departures, neighbours
 from medlardoor.mesh import (
     document_exchange,
     documents,
@@ -320,7 +320,9 @@
             return
         peer = self._roster.peers.get(left.instance)
         if peer is not None:
-            peer.left = left
+            peer.departures.add(
+                departures.Departure(left.upstream_id, left.born_ms or 0)
+            )
 
     def _record_addresses(self, status: ttypes.NodeStatus) -> None:
         """Records the addresses in a status message."""
--- a/medlardoor/mesh/local_upstream.py
+++ b/medlardoor/mesh/local_upstream.py
@@ -145,7 +145,10 @@
             change: What an announcement of the upstream has changed.
         """
         now = self._loop.time()
-        if change is not announcements.UpstreamChange.OUTDATED:
+        if change not in (
+            announcements.UpstreamChange.OUTDATED,
+            announcements.UpstreamChange.LEFT,
+        ):
             self._last_seen_at = now
             self._is_down = False
             self._down_until = 0.0
--- a/medlardoor/mesh/peers.py
+++ b/medlardoor/mesh/peers.py
@@ -6,7 +6,7 @@
 import itertools
 
 from medlardoor import errors
-from medlardoor.membership import neighbours
+from medlardoor.membership import departures, neighbours
 from medlardoor.mesh import links, remote_upstream, runs, statuses
 from medlardoor.mesh import settings as settings_module
 from medlardoor.routing import placement
@@ -61,10 +61,12 @@
         self.outstanding_calls: dict[int, _PeerCall] = {}
         # When the outstanding probe was sent, in seconds; None without one.
         self.probed_at: float | None = None
-        # Last departure of an upstream that the node has acknowledged. It
-        # is sent back to the node after a restart.
-        self.left: ttypes.UpstreamLeft | None = None
-        # Incarnation of the node to which it was last sent back.
+        # Departures of upstreams that the node has acknowledged. They are sent
+        # back to the node after a restart.
+        self.departures = departures.DepartureList(
+            departures.MAX_TOLD_DEPARTURES
+        )
+        # Incarnation of the node to which they were last sent back.
         self.reminded_incarnation: int | None = None
         # Whether the node has announced that it ends in a planned stop.
         self.has_departed = False
--- a/medlardoor/mesh/presence.py
+++ b/medlardoor/mesh/presence.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from medlardoor import errors, logs
+from medlardoor.membership import departures as departures_module
 from medlardoor.membership import neighbours
 from medlardoor.mesh import settings as settings_module
 from medlardoor.mesh import supervision
@@ -38,6 +39,15 @@
 MAX_RETRY_PAUSE_S = 1.0
 
 
+class StoredDeparture(pydantic.BaseModel):
+    """Departure of an upstream, as in `departures.Departure`."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    upstream_id: str
+    born_ms: int = pydantic.Field(ge=0, le=ranges.MAX_SEQUENCE)
+
+
 class InstanceObject(pydantic.BaseModel):
     """Stored object of a node.
 
@@ -46,9 +56,12 @@
         port: TCP port of its link listener.
         service: Service of its upstream.
         failure_domain: Failure domain of the instance.
-        left_id: Last upstream whose departure the node has acknowledged.
+        left_id: Last upstream whose departure the node has acknowledged. Nodes
+            of earlier builds know of this one only.
         left_born_ms: Start of that upstream, in milliseconds of Unix time; 0
             if unknown.
+        departures: Departures that the node has acknowledged, the last one
+            last.
     """
 
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
@@ -59,6 +72,20 @@
     failure_domain: str
     left_id: str = ""
     left_born_ms: int = pydantic.Field(default=0, ge=0, le=ranges.MAX_SEQUENCE)
+    departures: list[StoredDeparture] = []
+
+    def all_departures(self) -> departures_module.DepartureList:
+        """Returns the departures, also one that an earlier build has stored."""
+        found = _new_departures()
+        for item in self.departures:
+            found.add(
+                departures_module.Departure(item.upstream_id, item.born_ms)
+            )
+        if self.left_id:
+            found.add(
+                departures_module.Departure(self.left_id, self.left_born_ms)
+            )
+        return found
 
     @pydantic.field_validator("host")
     @classmethod
@@ -113,6 +140,7 @@
             service=settings.service,
             failure_domain=settings.failure_domain,
         )
+        self._departures = _new_departures()
         self._last_written: InstanceObject | None = None
         self._version = 0
         self._changed = anyio.Event()
@@ -149,10 +177,27 @@
             upstream_id: Identifier of the upstream.
             born_ms: Start of the upstream, in milliseconds of Unix time.
         """
+        self._departures.add(departures_module.Departure(upstream_id, born_ms))
+        self._update_departures()
+        self._wake()
+
+    def _update_departures(self) -> None:
+        """Takes the known departures into the object to be stored."""
+        found = list(self._departures)
+        if not found:
+            return
         self._desired = self._desired.model_copy(
-            update={"left_id": upstream_id, "left_born_ms": born_ms}
+            update={
+                "left_id": found[-1].upstream_id,
+                "left_born_ms": found[-1].born_ms,
+                "departures": [
+                    StoredDeparture(
+                        upstream_id=item.upstream_id, born_ms=item.born_ms
+                    )
+                    for item in found
+                ],
+            }
         )
-        self._wake()
 
     def verify(self) -> None:
         """Has the stored object verified, and written again if it was lost.
@@ -231,16 +276,21 @@
             return True
         self._version = stored.version
         known = self._last_written = _parse(stored)
-        if known is not None and known.left_id and not self._desired.left_id:
-            self._desired = self._desired.model_copy(
-                update={
-                    "left_id": known.left_id,
-                    "left_born_ms": known.left_born_ms,
-                }
-            )
-            self._restore_departure(known.left_id, known.left_born_ms)
+        if known is not None:
+            self._take_over(known.all_departures())
         return True
 
+    def _take_over(self, stored: departures_module.DepartureList) -> None:
+        """Adds stored departures before those that this process recorded."""
+        merged = _new_departures()
+        for departure in stored:
+            self._restore_departure(departure.upstream_id, departure.born_ms)
+            merged.add(departure)
+        for departure in self._departures:
+            merged.add(departure)
+        self._departures = merged
+        self._update_departures()
+
     async def _write_own(self) -> bool:
         desired = self._desired
         if self._is_removed or desired == self._last_written:
@@ -279,6 +329,12 @@
         return True
 
 
+def _new_departures() -> departures_module.DepartureList:
+    return departures_module.DepartureList(
+        departures_module.MAX_TOLD_DEPARTURES
+    )
+
+
 def _parse(stored: client.StoredObject) -> InstanceObject | None:
     """Parses the stored object of a node; None if it is invalid."""
     try:
--- a/medlardoor/mesh/response_observer.py
+++ b/medlardoor/mesh/response_observer.py
@@ -115,7 +115,9 @@
 
     def _apply_leaving(self, current: announcements.Announcement) -> None:
         """Ends the use of the upstream, as if a heartbeat had said so."""
-        change = self._register.deregister(current.upstream_id, current.born_ms)
+        change = self._register.record_leaving(
+            current.upstream_id, self._loop.time()
+        )
         if change is announcements.UpstreamChange.LEAVING:
             logs.log_event(
                 _LOG,
--- a/medlardoor/mesh/roster.py
+++ b/medlardoor/mesh/roster.py
@@ -140,13 +140,17 @@
     def resend_left(
         self, link: links_module.Link, status: ttypes.NodeStatus
     ) -> None:
-        """Sends an acknowledged departure back to a restarted node."""
+        """Sends acknowledged departures back to a restarted node."""
         peer = self._peers.get(status.instance)
-        if peer is None or peer.left is None:
+        if peer is None or not any(peer.departures):
             return
         if status.incarnation != peer.reminded_incarnation:
             peer.reminded_incarnation = status.incarnation
-            link.send(ttypes.Frame(left=peer.left))
+            for departure in peer.departures:
+                left = ttypes.UpstreamLeft(
+                    peer.instance, departure.upstream_id, departure.born_ms
+                )
+                link.send(ttypes.Frame(left=left))
 
     def open_link(self, instance: str) -> links_module.Link | None:
         """Returns the open link that this node has dialled to another one."""
--- a/medlardoor/mesh/tests/test_calls.py
+++ b/medlardoor/mesh/tests/test_calls.py
@@ -164,7 +164,9 @@
         group.members[name].node._fleet._roster.peers["s1"]
         for name in ("s2", "o1")
     ]
-    await group_module.wait_until(lambda: all(p.left for p in peers))
+    await group_module.wait_until(
+        lambda: all(list(p.departures) for p in peers)
+    )
     member.scope.cancel()
     await member.done.wait()
     await member.start_node(group.tasks)
--- a/medlardoor/mesh/tests/test_leaving_response.py
+++ b/medlardoor/mesh/tests/test_leaving_response.py
@@ -6,6 +6,7 @@
 import pytest
 
 from medlardoor.mesh.tests import group as group_module
+from medlardoor.store import memory
 
 pytestmark = pytest.mark.anyio
 
@@ -113,3 +114,48 @@
     assert member.node.register.current.upstream_id == "i-new"
     response = await member.call("/order/1", "second", method="POST")
     assert response.status == 200
+
+
+@pytest.mark.parametrize("is_store_down", [False, True])
+async def test_departures_of_two_starts_outlast_a_restart(group, is_store_down):
+    """Of two departures the later one alone was kept for a restart.
+
+    The first one is of a start that had not been announced yet; the other one
+    is of another upstream and arrives late.
+    """
+    member = group.members["s1"]
+    if is_store_down:
+        member.store.inject(memory.FaultMode.DOWN)
+    for upstream_id, born_ms in (("i-s1", 3_000), ("i-0", 500)):
+        change = member.node.register.deregister(upstream_id, born_ms)
+        member.node.handle_upstream_change(change)
+    peer = group.members["o1"].node._fleet._roster.peers["s1"]
+
+    def is_kept():
+        stored = group.table.read("instances/s1")
+        return len(list(peer.departures)) == 2 and (
+            is_store_down or b'"i-0"' in stored.value
+        )
+
+    await group_module.wait_until(is_kept)
+    member.scope.cancel()
+    await member.done.wait()
+    await member.start_node(group.tasks)
+    await group_module.wait_until(lambda: not member.node.register.is_usable)
+    for upstream_id, born_ms in (("i-s1", 3_000), ("i-0", 500)):
+        member.send_heartbeat(upstream_id=upstream_id, born_ms=born_ms)
+        assert not member.node.register.is_usable
+    member.send_heartbeat(born_ms=4_000)
+    assert member.node.register.is_usable
+
+
+async def test_departure_of_another_upstream_does_not_mark_this_one_as_up(
+    group,
+):
+    """A message of a departed upstream hid that the present one is down."""
+    member = group.members["s1"]
+    local = member.node._local
+    local._mark_down("test")
+    change = member.node.register.deregister("i-0", 500)
+    member.node.handle_upstream_change(change)
+    assert not local.is_usable
--- a/medlardoor/platform/heartbeats.py
+++ b/medlardoor/platform/heartbeats.py
@@ -110,14 +110,23 @@
             except ValueError as error:
                 return self._invalid(upstream_id, type(error).__name__)
         if not born_ms:
-            # Every start until now has ended, also if this node knows none of
-            # them; a later heartbeat of one of them must not bring it back.
-            born_ms = time.time_ns() // 1_000_000
+            born_ms = self._departed_start_ms(upstream_id)
         change = self._register.deregister(upstream_id, born_ms)
         _log_change(change, upstream_id, born_ms, "deregister")
         self._changed(change)
         return _OK
 
+    def _departed_start_ms(self, upstream_id: str) -> int:
+        """Returns the start that a deregistration without one is about.
+
+        It is that of the upstream in use. For any other, every start until now
+        has ended; a later heartbeat of one of them must not bring it back.
+        """
+        current = self._register.current
+        if current is not None and current.upstream_id == upstream_id:
+            return current.born_ms
+        return time.time_ns() // 1_000_000
+
     def _announce(
         self, announcement: announcements.Announcement, now: float
     ) -> announcements.UpstreamChange:
