--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -314,6 +314,7 @@
             "cut": draw.uniform(0.1, 0.6),
             "extra": draw.uniform(0.1, 0.6),
             "lose": draw.uniform(0.1, 0.6),
+            "page": draw.uniform(0.1, 0.6),
         }
         name = draw.choice(list(faults))
         setattr(member.upstream.fault, name, faults[name])
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -19,8 +19,8 @@
 COLD_MS = 300
 ACK_TIMEOUT_S = 1.0
 
-# An upstream names itself in its answers; the nodes do not need it.
-ID_HEADER = b"X-Medlardoor-Instance-Id"
+# An upstream names itself in its answers.
+ID_HEADER = names.HEADERS.upstream_id
 
 
 def seal_of(upstream_id: str, attempt_id: str, body: bytes) -> str:
@@ -29,6 +29,10 @@
     return hashlib.blake2b(text, digest_size=12).hexdigest()
 
 
+# Statuses of pages; each would have an effect if it were taken for a response.
+PAGE_STATUSES = (200, 204, 404, 421, 429, 500, 503)
+
+
 @dataclasses.dataclass(slots=True)
 class UpstreamFault:
     """How an upstream misbehaves.
@@ -40,6 +44,8 @@
         cut: Share of answers that end early.
         extra: Share of answers that are followed by a second one.
         lose: Share of requests that run and whose connection is reset.
+        page: Share of answers in whose place a page comes that bears none of
+            the headers of an upstream.
         late: Share of answers, also of rejections, of which a copy arrives
             where the next answer on the connection is expected.
     """
@@ -50,6 +56,7 @@
     cut: float = 0.0
     extra: float = 0.0
     lose: float = 0.0
+    page: float = 0.0
     late: float = 0.0
 
 
@@ -205,6 +212,9 @@
         if draw() < fault.lose:
             connection.reset()
             return
+        if fault.page and draw() < fault.page:
+            connection.send_page(self._generator.choice(PAGE_STATUSES))
+            return
         body = b"%b|%b" % (running.attempt.encode(), running.request.target)
         status = 500 if draw() < fault.fail else 200
         seal = seal_of(self.upstream_id, running.attempt, body)
@@ -357,6 +367,15 @@
         )
         self._transport.close()
 
+    def send_page(self, status: int) -> None:
+        """Sends a page that no upstream has made, and ends the connection."""
+        if self._transport is not None:
+            self._transport.write(
+                b"HTTP/1.1 %d Page\r\nContent-Length: 9\r\n\r\nIt works!"
+                % status
+            )
+            self._transport.close()
+
     def send_extra(self, lines: bytes, body: bytes) -> None:
         """Sends an answer that nobody has asked for."""
         if self._transport is not None:
