Take the size of the largest object from the platform's settings

Cause: responses of the store were bounded by 1,000,000 bytes, the size of the product's own object API. valueBytes of the settings was not read.

Change: PlatformStore takes the size from the settings. A response with one object may have twice that size, a list or a watch eight times. A watch that is longer is replaced by a read of the object, since it would fail again. A response above its limit is a failure of its own type.

--- a/medlardoor/errors.py
+++ b/medlardoor/errors.py
@@ -12,6 +12,7 @@
     "Reason",
     "Refusal",
     "StoreConflict",
+    "StoreResponseTooLarge",
     "StoreUnavailable",
 ]
 
@@ -153,6 +154,25 @@
         return f"Platform call for object {self.key} failed: {self.detail}"
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreResponseTooLarge(StoreUnavailable):
+    """A response of the platform was given up, since it exceeds its limit.
+
+    Attributes:
+        max_bytes: The limit, in bytes.
+    """
+
+    max_bytes: int = 0
+
+    @property
+    def message(self) -> str:
+        """One sentence for a log line or an operator."""
+        return (
+            f"Platform call for object {self.key} failed: response is longer"
+            f" than {self.max_bytes} bytes"
+        )
+
+
 @dataclasses.dataclass(frozen=True)
 class StoreConflict(Failure):
     """A conditional update found another version of the object.
--- a/medlardoor/platform/program.py
+++ b/medlardoor/platform/program.py
@@ -27,7 +27,8 @@
 
 async def _run(loaded: settings.PlatformSettings, path: str) -> None:
     mesh = settings.to_mesh(loaded)
-    objects = store.PlatformStore(loaded.platform.platform.address)
+    platform = loaded.platform.platform
+    objects = store.PlatformStore(platform.address, platform.valueBytes)
     node = node_module.Node(
         mesh, objects, names.CONFIG_KEY, documents.ConfigDecoder()
     )
--- a/medlardoor/platform/settings.py
+++ b/medlardoor/platform/settings.py
@@ -120,6 +120,8 @@
 
 class _Store(_Model):
     address: Address
+    # Size of the largest object.
+    valueBytes: int = pydantic.Field(default=1_048_576, ge=1)  # noqa: N815
 
 
 class _Platform(_Model):
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -36,7 +36,10 @@
 # that only while it cannot keep up anyway. In seconds.
 CALL_TIMEOUT_S = 1.5
 
-_MAX_LIST_BYTES = 8 * client.MAX_VALUE_BYTES
+# Limits of responses, in sizes of the largest object. That size does not count
+# the white space and the escapes with which a response may be encoded.
+_MAX_OBJECT_RESPONSE = 2
+_MAX_LIST_RESPONSE = 8
 _MAX_PAGES = 64
 
 # At most `versions.MAX_ERA`.
@@ -52,9 +55,12 @@
 
     Args:
         address: Address of the store.
+        value_bytes: Size of the largest object that the store keeps, in bytes.
     """
 
-    def __init__(self, address: mesh_settings.Address):
+    def __init__(self, address: mesh_settings.Address, value_bytes: int):
+        self._value_bytes = value_bytes
+        self._max_list_bytes = _MAX_LIST_RESPONSE * value_bytes
         self._base = f"http://{address.host}:{address.port}"
         self._base += names.OBJECTS_PATH
         self._caller = calls.StoreCaller(CALL_TIMEOUT_S)
@@ -84,6 +90,9 @@
 
         An answer without a valid era counts as one of the era known.
         """
+        options.setdefault(
+            "max_bytes", _MAX_OBJECT_RESPONSE * self._value_bytes
+        )
         answer = await self._caller.call(key, method, url, **options)
         if answer.is_err():
             return answer
@@ -137,8 +146,10 @@
         self, key: str, value: bytes, expected_version: int
     ) -> result.Result[int, errors.StoreUnavailable | errors.StoreConflict]:
         """Writes an object if its version is still the expected one."""
-        if len(value) > client.MAX_VALUE_BYTES:
-            return result.Err(client.too_large(key, len(value)))
+        if len(value) > self._value_bytes:
+            return result.Err(
+                client.too_large(key, len(value), self._value_bytes)
+            )
         if expected_version > 0 and not self._is_of_known_era(expected_version):
             # Another change may have its revision in the era that follows.
             return result.Err(errors.StoreConflict(key, expected_version))
@@ -212,9 +223,16 @@
             }
         )
         answer = await self._call(
-            key, "GET", f"{self._base}{kind}?{query}", wait_s=wait_s
+            key,
+            "GET",
+            f"{self._base}{kind}?{query}",
+            wait_s=wait_s,
+            max_bytes=self._max_list_bytes,
         )
         if answer.is_err():
+            if isinstance(answer.err_value, errors.StoreResponseTooLarge):
+                # It has many versions of the object, and would again.
+                return await self._read_with_version(key)
             return answer
         is_outdated = not self._is_of_known_era(after)
         if answer.ok_value.status == _GONE or is_outdated:
@@ -238,7 +256,7 @@
         """Reads an object and the version of the store at that moment."""
         kind, _, name = key.partition("/")
         answer = await self._call(
-            key, "GET", self._base + kind, max_bytes=_MAX_LIST_BYTES
+            key, "GET", self._base + kind, max_bytes=self._max_list_bytes
         )
         if answer.is_err():
             return answer
@@ -269,7 +287,7 @@
                 prefix,
                 "GET",
                 f"{self._base}{kind}?{query}",
-                max_bytes=_MAX_LIST_BYTES,
+                max_bytes=self._max_list_bytes,
             )
             if answer.is_err():
                 return answer
--- a/medlardoor/platform/tests/test_settings.py
+++ b/medlardoor/platform/tests/test_settings.py
@@ -46,6 +46,19 @@
     assert mesh.retries.slack < 47
 
 
+@pytest.mark.parametrize(
+    ("line", "size"),
+    [
+        ("", 1_048_576),
+        ("platform.platform.valueBytes=2097152\n", 2_097_152),
+    ],
+)
+def test_size_of_the_largest_object_is_the_platforms(line, size):
+    """A size of our own made a document unreadable that the store accepts."""
+    loaded = settings.parse("node.conf", TEXT + line).unwrap()
+    assert loaded.platform.platform.valueBytes == size
+
+
 def test_watches_end_within_the_bound():
     """A silent watch lasts longer than a change may take."""
     for in_force_s in (0.5, 2.0, 13.0):
--- a/medlardoor/store/calls.py
+++ b/medlardoor/store/calls.py
@@ -89,10 +89,9 @@
     async for chunk in response.aiter_stream():
         body += chunk
         if len(body) > max_bytes:
+            detail = f"response body is longer than {max_bytes} bytes"
             return result.Err(
-                errors.StoreUnavailable(
-                    key, f"response body is longer than {max_bytes} bytes"
-                )
+                errors.StoreResponseTooLarge(key, detail, max_bytes)
             )
     return result.Ok(
         httpcore.Response(
--- a/medlardoor/store/client.py
+++ b/medlardoor/store/client.py
@@ -9,6 +9,7 @@
 
 __all__ = ["MAX_VALUE_BYTES", "ObjectStore", "StoredObject", "too_large"]
 
+# Size of the largest value in the object API of the product's own interface.
 MAX_VALUE_BYTES = 1_000_000
 
 
@@ -18,7 +19,7 @@
 
     Attributes:
         key: Key of the object, such as ``documents/production``.
-        value: Content, at most `MAX_VALUE_BYTES` long.
+        value: Content.
         version: Version of the last change; see `store.versions`. Versions
             increase across all objects.
     """
@@ -104,15 +105,18 @@
         """
 
 
-def too_large(key: str, size: int) -> errors.StoreUnavailable:
-    """Returns the failure of an update that exceeds `MAX_VALUE_BYTES`.
+def too_large(
+    key: str, size: int, max_size: int = MAX_VALUE_BYTES
+) -> errors.StoreUnavailable:
+    """Returns the failure of an update that exceeds the size of an object.
 
     The client does not send such an update.
 
     Args:
         key: Key of the object.
         size: Size of the value, in bytes.
+        max_size: Largest size, in bytes.
     """
     return errors.StoreUnavailable(
-        key, f"not sent: value has {size} bytes, limit is {MAX_VALUE_BYTES}"
+        key, f"not sent: value has {size} bytes, limit is {max_size}"
     )
