--- a/medlardoor/soak/faults.py
+++ b/medlardoor/soak/faults.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from medlardoor.soak import documents, evidence, relay, upstreams
+from medlardoor.soak import documents, evidence, relay, upstream_faults
 from medlardoor.soak import world as world_module
 from medlardoor.standins import object_store
 
@@ -319,7 +319,7 @@
         name = draw.choice(list(faults))
         setattr(member.upstream.fault, name, faults[name])
         await anyio.sleep(self._duration())
-        member.upstream.fault = upstreams.UpstreamFault()
+        member.upstream.fault = upstream_faults.UpstreamFault()
 
     async def _spoil_store(self, member: Member) -> None:
         store = self._world.store
--- a/medlardoor/soak/upstreams.py
+++ b/medlardoor/soak/upstreams.py
@@ -1,7 +1,6 @@
 """Upstreams of the soak: they run requests, announce themselves and fail."""
 
 import asyncio
-import dataclasses
 import hashlib
 import json
 import random
@@ -10,9 +9,9 @@
 from medlardoor.config import routes
 from medlardoor.mesh import handlers, server_connection
 from medlardoor.platform import names
-from medlardoor.soak import evidence
+from medlardoor.soak import evidence, upstream_faults
 
-__all__ = ["ID_HEADER", "SoakUpstream", "UpstreamFault", "seal_of"]
+__all__ = ["ID_HEADER", "SoakUpstream", "seal_of"]
 
 BEAT_S = 0.5
 SLOTS = 16
@@ -29,37 +28,6 @@
     return hashlib.blake2b(text, digest_size=12).hexdigest()
 
 
-# Statuses of pages; each would have an effect if it were taken for a response.
-PAGE_STATUSES = (200, 204, 404, 421, 429, 500, 503)
-
-
-@dataclasses.dataclass(slots=True)
-class UpstreamFault:
-    """How an upstream misbehaves.
-
-    Attributes:
-        slow: Factor on the time of each request.
-        shed: Share of requests that are refused as not run.
-        fail: Share of requests that are answered with 500.
-        cut: Share of answers that end early.
-        extra: Share of answers that are followed by a second one.
-        lose: Share of requests that run and whose connection is reset.
-        page: Share of answers in whose place a page comes that bears none of
-            the headers of an upstream.
-        late: Share of answers, also of rejections, of which a copy arrives
-            where the next answer on the connection is expected.
-    """
-
-    slow: float = 1.0
-    shed: float = 0.0
-    fail: float = 0.0
-    cut: float = 0.0
-    extra: float = 0.0
-    lose: float = 0.0
-    page: float = 0.0
-    late: float = 0.0
-
-
 class SoakUpstream:
     """One upstream process as its node and its callers see it.
 
@@ -80,7 +48,7 @@
         generator: random.Random,
     ):
         self.service = service
-        self.fault = UpstreamFault()
+        self.fault = upstream_faults.UpstreamFault()
         self._address = address
         self._control = control
         self._ledger = ledger
@@ -213,7 +181,9 @@
             connection.reset()
             return
         if fault.page and draw() < fault.page:
-            connection.send_page(self._generator.choice(PAGE_STATUSES))
+            connection.send_page(
+                self._generator.choice(upstream_faults.PAGE_STATUSES)
+            )
             return
         body = b"%b|%b" % (running.attempt.encode(), running.request.target)
         status = 500 if draw() < fault.fail else 200
