Look up routes in linear time, and once for the parts of a body

Cause: a lookup copied each prefix of the path that ends with a slash, which takes the square of the path, and the reader of requests made a lookup for each part of a body without a length.

Change: config/prefixes.PrefixTree descends by one segment at a time. The level of a body is looked up once for each request.

--- a/medlardoor/config/routes.py
+++ b/medlardoor/config/routes.py
@@ -1,8 +1,8 @@
 """Data classes of routes, and their lookup by host and path prefix."""
 
 import dataclasses
-import typing
 
+from medlardoor.config import prefixes
 from medlardoor.teams import importance, keys
 
 __all__ = [
@@ -117,9 +117,8 @@
 class RouteTable:
     """Finds the route of a request.
 
-    Every route prefix ends with a slash, so a lookup tries only the prefixes of
-    the path that end with a slash. Its cost depends on the number of slashes in
-    the path and not on the number of routes.
+    The cost of a lookup does not depend on the number of routes, and it is
+    linear in the length of the path at most; see `prefixes.PrefixTree`.
 
     Args:
         document: The enforced document.
@@ -127,10 +126,11 @@
 
     def __init__(self, document: RouteDocument):
         self._document = document
-        self._hosts: dict[bytes, dict[bytes, Route]] = {}
+        self._hosts: dict[bytes, prefixes.PrefixTree[Route]] = {}
         for route in document.routes:
-            prefixes = self._hosts.setdefault(route.host, {})
-            prefixes[route.path_prefix] = route
+            if route.host not in self._hosts:
+                self._hosts[route.host] = prefixes.PrefixTree()
+            self._hosts[route.host].add(route.path_prefix, route)
         self._most_urgent_priority = min(
             (route.priority for route in document.routes), default=0
         )
@@ -196,26 +196,13 @@
         Returns:
             The route, or None if no route matches.
         """
-        prefixes = self._hosts.get(host)
-        if prefixes is None:
-            prefixes = self._hosts.get(_host_name(host))
-            if prefixes is None:
+        tree = self._hosts.get(host)
+        if tree is None:
+            tree = self._hosts.get(_host_name(host))
+            if tree is None:
                 return None
-        path = target.partition(b"?")[0]
-        for prefix in _prefixes(path):
-            route = prefixes.get(prefix)
-            if route is not None:
-                return route
-        return None
+        return tree.find(target.partition(b"?")[0])
 
 
 def _host_name(host: bytes) -> bytes:
     return host.strip().lower().partition(b":")[0]
-
-
-def _prefixes(path: bytes) -> typing.Iterator[bytes]:
-    """Yields the prefixes of a path that end with a slash, longest first."""
-    end = path.rfind(b"/")
-    while end >= 0:
-        yield path[: end + 1]
-        end = path.rfind(b"/", 0, end)
--- a/medlardoor/mesh/request_reader.py
+++ b/medlardoor/mesh/request_reader.py
@@ -99,6 +99,9 @@
         # Buffer space reserved for the body and for header lines, in bytes.
         self._reserved_bytes = 0
         self._reserved_line_bytes = 0
+        # Admission level of the request, once it was looked up: a body without
+        # a length reserves space for each part.
+        self._level: int | None = None
         # Received data that waits until another request may be read.
         self._unread = b""
         # Bytes of heads, trailers and chunk extensions, which the parser
@@ -182,6 +185,7 @@
         """Resets the state for a new request; called by the parser."""
         self._head.reset()
         self._body.clear()
+        self._level = None
         self._is_in_head = True
         self._events.request_began()
 
@@ -316,8 +320,9 @@
             Whether the space was reserved.
         """
         host, url = self._head.host, self._head.url
-        level = self._handler.body_level(host, url)
-        if self._buffers.try_reserve_request(size, level):
+        if self._level is None:
+            self._level = self._handler.body_level(host, url)
+        if self._buffers.try_reserve_request(size, self._level):
             return True
         refusal = self._handler.refuse_body(host, url)
         self.stop()
--- a/medlardoor/mesh/tests/test_request_reader.py
+++ b/medlardoor/mesh/tests/test_request_reader.py
@@ -265,3 +265,23 @@
         assert guard.closings == {Reason.HEAD_TIMEOUT: 1}
 
     asyncio.run(main())
+
+
+def test_level_of_a_body_in_many_chunks_is_looked_up_once():
+    """A body in small chunks held the event loop with a lookup for each."""
+
+    async def main():
+        client, _ = _guarded()
+        lookups = []
+        client.handler.body_level = lambda *request: (
+            lookups.append(request) or 0
+        )
+        chunked = CHUNKED.replace(b"2\r\nab\r\n", b"1\r\nx\r\n" * 3_000)
+        for _ in range(2):
+            client.send(chunked)
+            client.reply()
+        return [len(r.body) for r in client.handler.requests], lookups
+
+    sizes, lookups = asyncio.run(main())
+    assert sizes == [3_003, 3_003]
+    assert lookups == [(b"x", b"/c")] * 2
