Bound the header lines of responses, and count them in the buffer budget

What callers saw: an upstream sends heads that never end, in short lines.

Cause: each line of a head that is not complete is an object of some 200 bytes, and only the 64 KB of text of a connection were bounded.

Change: a response has at most 1,024 header lines. From the 33rd on each takes its text and 200 bytes of the buffer budget until the response is complete or dropped, as lines of requests do.

Two of the three new tests of test_upstream_connection fail on the code before; the third shows that 900 lines are passed on.

--- a/medlardoor/mesh/http_messages.py
+++ b/medlardoor/mesh/http_messages.py
@@ -11,6 +11,8 @@
 
 __all__ = [
     "CONNECTION_HEADERS",
+    "LINE_BYTES",
+    "MIN_COUNTED_LINES",
     "LoadReport",
     "encode_header_lines",
     "encode_request",
@@ -27,6 +29,12 @@
 # forwarded, and Content-Length, which is set for each message.
 CONNECTION_HEADERS = exchange.HOP_HEADERS | {b"content-length", b"expect"}
 
+# Header lines from which on their objects count in the buffer budget, and the
+# bytes that one takes: a tuple and two strings. Fewer lines take less than the
+# connection itself.
+MIN_COUNTED_LINES = 32
+LINE_BYTES = 200
+
 # A decimal number without a sign or an exponent, of bounded length.
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
--- a/medlardoor/mesh/request_reader.py
+++ b/medlardoor/mesh/request_reader.py
@@ -9,7 +9,7 @@
 from medlardoor import protocol_offers
 from medlardoor.admission import body_buffer
 from medlardoor.admission import buffers as buffers_module
-from medlardoor.mesh import handlers, pipeline, request_head
+from medlardoor.mesh import handlers, http_messages, pipeline, request_head
 
 __all__ = ["ReaderEvents", "RequestReader"]
 
@@ -21,12 +21,6 @@
 # 256 KB.
 PART_BYTES = 4_096
 
-# Header lines from which on their objects count in the buffer budget, and the
-# bytes that one takes: a tuple and two strings. Fewer lines take less than the
-# connection itself.
-MIN_COUNTED_LINES = 32
-LINE_BYTES = 200
-
 
 class ReaderEvents(abc.ABC):
     """Receives what a reader finds in the data of a connection."""
@@ -214,8 +208,8 @@
             if self._parser.get_method() == b"CONNECT":
                 self._events.reject(BAD_REQUEST)
             return
-        if head.lines > MIN_COUNTED_LINES:
-            size = head.lines * LINE_BYTES
+        if head.lines > http_messages.MIN_COUNTED_LINES:
+            size = head.lines * http_messages.LINE_BYTES
             if not self._try_reserve(size):
                 return
             self._reserved_line_bytes = size
--- a/medlardoor/mesh/settings.py
+++ b/medlardoor/mesh/settings.py
@@ -164,6 +164,8 @@
             request is sent.
         max_head_bytes: Maximum size of the head of a response, including
             interim responses.
+        max_head_lines: Maximum number of header lines of a response. Each
+            takes many times the memory of a short line's text.
         max_interim_answers: Maximum number of interim responses (1xx) before
             the final one.
         max_answer_bytes: Maximum size of the body of a response.
@@ -176,6 +178,7 @@
     max_idle_s: float = 4.0
     max_idle_not_idempotent_s: float = 1.0
     max_head_bytes: int = 65_536
+    max_head_lines: int = 1_024
     max_interim_answers: int = 8
     max_answer_bytes: int = 67_108_864
     overdue_s: float = 1.0
--- a/medlardoor/mesh/tests/test_upstream_connection.py
+++ b/medlardoor/mesh/tests/test_upstream_connection.py
@@ -263,6 +263,59 @@
     run(check)
 
 
+def _lines(count):
+    return b"X: y\r\n" * count
+
+
+def test_head_of_many_lines_closes_the_connection(run):
+    """Heads of short lines took a node over its memory limit.
+
+    Each line is an object, which takes many times the memory of its text.
+    """
+
+    def check(exchange):
+        most = settings.UpstreamSettings().max_head_lines
+        exchange.receive(b"HTTP/1.1 200 OK\r\n" + _lines(most))
+        assert exchange.events.breaks == []
+        assert exchange.buffers.used_bytes > 200 * (most - 50)
+        # The parser reports a line when the next one begins.
+        exchange.receive(_lines(2))
+        assert exchange.events.breaks == [BreakReason.HEAD_TOO_LONG]
+        assert exchange.transport.aborted
+        assert exchange.buffers.used_bytes == 0
+
+    run(check)
+
+
+def test_lines_of_heads_are_bounded_for_the_node(run):
+    """Many unfinished heads of allowed size filled the memory of the node."""
+
+    def check(exchange):
+        exchange.buffers.reserve_unchecked(900_000)
+        exchange.receive(b"HTTP/1.1 200 OK\r\n" + _lines(400))
+        assert exchange.events.breaks == []
+        exchange.receive(_lines(400))
+        assert exchange.events.breaks == [BreakReason.BUFFERS_FULL]
+        assert exchange.buffers.used_bytes == 900_000
+
+    run(check)
+
+
+def test_response_with_many_lines_is_passed_on(run):
+    """A limit on lines refused a response of a sound upstream."""
+
+    def check(exchange):
+        for number in range(1, 4):
+            interim = b"HTTP/1.1 103 Early\r\n" + _lines(900) + b"\r\n"
+            response = _response(b"id-%d" % number, extra=_lines(900))
+            exchange.receive(interim + response)
+            assert len(exchange.events.answers[-1].headers) == 903
+            assert exchange.buffers.used_bytes == 0
+            exchange.send(b"id-%d" % (number + 1))
+
+    run(check)
+
+
 def test_interim_answers_of_earlier_requests_do_not_count(run):
     """The limit of interim responses applies to each request separately."""
 
--- a/medlardoor/mesh/upstream_connection.py
+++ b/medlardoor/mesh/upstream_connection.py
@@ -129,6 +129,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         # Its bytes count towards the buffer budget.
         self._body = body_buffer.BodyBuffer()
+        # Bytes of the buffer budget that header lines take.
+        self._line_bytes = 0
         # Bytes of heads, trailers and chunk extensions, which the parser
         # collects, since the last complete head or part of a body.
         self._head_bytes = 0
@@ -207,7 +209,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once without reporting an event."""
-        self._drop_body()
+        self._drop_message()
         self._events = None
         self._must_close = True
         if self._transport is not None:
@@ -258,16 +260,26 @@
         """Resets the parsing state for a new response."""
         if self._response is not None:
             self._must_close = True
-        self._drop_body()
-        self._headers = []
+        self._drop_message()
         self._is_in_head = True
         self._ends_at_eof = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header."""
         # Trailers are ignored: callers of this system do not use them.
-        if self._is_in_head:
-            self._headers.append((name.lower(), value))
+        if not self._is_in_head or self._events is None:
+            return
+        lines = len(self._headers)
+        if lines >= self._settings.max_head_lines:
+            self._abort_exchange(BreakReason.HEAD_TOO_LONG)
+            return
+        if lines >= http_messages.MIN_COUNTED_LINES:
+            size = http_messages.LINE_BYTES + len(name) + len(value)
+            if not self._buffers.try_reserve_response(size):
+                self._abort_exchange(BreakReason.BUFFERS_FULL)
+                return
+            self._line_bytes += size
+        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Determines how the response is delimited."""
@@ -316,7 +328,8 @@
         if self._events is None or self._response is not None:
             self._must_close = True
             return
-        self._buffers.release(len(self._body))
+        self._buffers.release(len(self._body) + self._line_bytes)
+        self._line_bytes = 0
         response = UpstreamResponse(
             self._parser.get_status_code(), self._headers, self._body.take()
         )
@@ -346,8 +359,11 @@
             self._must_close = True
         events.response_received(self, response)
 
-    def _drop_body(self) -> None:
-        self._buffers.release(len(self._body))
+    def _drop_message(self) -> None:
+        """Drops the header lines and the body that were received so far."""
+        self._buffers.release(len(self._body) + self._line_bytes)
+        self._line_bytes = 0
+        self._headers = []
         self._body.clear()
 
     def _read_keep_alive(self, response: UpstreamResponse) -> None:
