Free the addresses of a group of test nodes when it ends

Cause: the harness reserves a network for each group, and gave it back while the listeners of the group's upstreams were still open. They ended with the next garbage collection: after six groups in a row 12 were open. A later group of the same or another process that drew the same network could not listen.

Change: a group closes them before its network is given back.

--- a/medlardoor/mesh/tests/group.py
+++ b/medlardoor/mesh/tests/group.py
@@ -160,6 +160,10 @@
             port,
         )
 
+    def stop_listening(self):
+        if self.server is not None:
+            self.server.close()
+
     def crash(self):
         self.server.close()
         for connection in list(self.connections):
@@ -311,6 +315,11 @@
         await member.start(self.tasks)
         return member
 
+    def close(self):
+        """Frees the addresses of the upstreams, before others may draw them."""
+        for member in self.members.values():
+            member.upstream.stop_listening()
+
     async def wait_until_settled(self):
         """Waits until each node has the document and sees all upstreams."""
 
@@ -341,7 +350,7 @@
     network = loopback.ReservedNetwork(random.SystemRandom())
     group = Group(f"{network.prefix}.{n}" for n in itertools.count(1))
     group.publish(*document)
-    with contextlib.closing(network):
+    with contextlib.closing(network), contextlib.closing(group):
         async with anyio.create_task_group() as tasks:
             group.tasks = tasks
             for name, service in members:
