--- a/medlardoor/logs.py
+++ b/medlardoor/logs.py
@@ -34,6 +34,9 @@
 # Maximum size of the lines that wait in the process for a slow log reader.
 MAX_UNWRITTEN_BYTES = 262_144
 
+# Maximum number of bytes that are written at once.
+MAX_WRITE_BYTES = 65_536
+
 
 @dataclasses.dataclass(slots=True)
 class _RepeatWindow:
@@ -111,6 +114,7 @@
         self._descriptor = descriptor
         self._max_bytes = max_bytes
         self._unwritten = bytearray()
+        self._is_flushing = False
         self._dropped = 0
         os.set_blocking(descriptor, False)
 
@@ -131,16 +135,33 @@
         self.flush()
 
     def flush(self) -> None:
-        """Writes buffered bytes until the descriptor would block."""
+        """Writes buffered bytes until the descriptor takes no more.
+
+        A call by a signal handler during another call does nothing: the bytes
+        are written by the interrupted one.
+        """
+        if self._is_flushing:
+            return
+        self._is_flushing = True
+        try:
+            self._write_buffered()
+        finally:
+            self._is_flushing = False
+
+    def _write_buffered(self) -> None:
         while self._unwritten:
+            # A copy, since the buffer cannot grow while the kernel reads it.
+            part = self._unwritten[:MAX_WRITE_BYTES]
             try:
-                written = os.write(self._descriptor, self._unwritten)
+                written = os.write(self._descriptor, part)
             except BlockingIOError:
                 return
             except OSError:
                 # The log cannot be written, so the error cannot be logged.
                 self._unwritten.clear()
                 return
+            if not written:
+                return
             del self._unwritten[:written]
 
 
--- a/tests/test_bounded_logs.py
+++ b/tests/test_bounded_logs.py
@@ -67,3 +67,37 @@
     elapsed_s = time.monotonic() - begun
     windows = elapsed_s / logs.REQUEST_WINDOW_S + 2
     assert 0 < len(handler.records) <= logs.MAX_REQUEST_REPEATS * windows
+
+
+def test_line_of_a_signal_handler_within_a_write_is_whole(monkeypatch):
+    """A line that a signal handler writes during a write breaks the log."""
+    written = []
+    monkeypatch.setattr(os, "set_blocking", lambda *_: None)
+    stream = logs.BoundedStream(1)
+
+    def write(_descriptor, data):
+        written.append(bytes(data[:4]))
+        size = len(written[-1])
+        if len(written) == 1:
+            stream.write("alarm\n")
+        return size
+
+    monkeypatch.setattr(os, "write", write)
+    stream.write("first line\n")
+    assert b"".join(written) == b"first line\nalarm\n"
+
+
+def test_write_of_no_bytes_ends_a_flush(monkeypatch):
+    """A descriptor that takes nothing and reports no error stops a node."""
+    calls = []
+    monkeypatch.setattr(os, "set_blocking", lambda *_: None)
+    stream = logs.BoundedStream(1)
+
+    def write(_descriptor, _data):
+        calls.append(1)
+        assert len(calls) < 100
+        return 0
+
+    monkeypatch.setattr(os, "write", write)
+    stream.write("line\n")
+    assert len(calls) == 1
