--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -24,6 +24,7 @@
     links,
     listening,
     local_upstream,
+    loop_monitor,
     node_metrics,
     observing,
     presence,
@@ -67,6 +68,7 @@
         store: The platform's object store.
         document_key: Key of the document of routes in the store.
         decoder: Decodes the document.
+        alarm: Reports code that holds up the event loop.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         store: client.ObjectStore,
         document_key: str,
         decoder: documents.DocumentDecoder,
+        alarm: loop_monitor.StallAlarm,
     ):
         self._settings = settings
         self._loop = asyncio.get_running_loop()
@@ -152,6 +155,7 @@
         )
         self._era.listen(self._presence.verify)
         self._listeners = listening.Listeners(settings, self._buffers)
+        self._monitor = loop_monitor.LoopMonitor(alarm)
         self._is_stopping = False
         self._admitted_rank = 0
 
@@ -229,6 +233,7 @@
                 self._lending.depart()
                 group.cancel_scope.cancel()
         finally:
+            self._monitor.close()
             self._listeners.close()
             self._fleet.close()
 
@@ -303,7 +308,9 @@
         """
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S)
-            self._listeners.sweep(self._loop.time())
+            now = self._loop.time()
+            self._monitor.check(now)
+            self._listeners.sweep(now)
             rank = self._local.admission_queue.level // levels.LEVELS_PER_RANK
             if rank != self._admitted_rank:
                 self._admitted_rank = rank
@@ -378,6 +385,7 @@
                 "document_revision": self._holder.revision,
                 "document_version": self._holder.version.number,
                 **self._era.gauges,
+                **self._monitor.gauges,
                 "buffered_bytes": self._buffers.used_bytes,
             },
             self._lending.shares(),
--- a/medlardoor/mesh/tests/group.py
+++ b/medlardoor/mesh/tests/group.py
@@ -15,6 +15,7 @@
 from medlardoor.mesh import (
     documents,
     handlers,
+    loop_monitor,
     node,
     observing,
     server_connection,
@@ -231,7 +232,11 @@
             self.settings, seed=self.settings.seed + 1
         )
         self.node = node.Node(
-            self.settings, self.store, DOCUMENT_KEY, Decoder()
+            self.settings,
+            self.store,
+            DOCUMENT_KEY,
+            Decoder(),
+            loop_monitor.NoAlarm(),
         )
         self.done = anyio.Event()
         task_group.start_soon(self._run)
--- a/medlardoor/platform/program.py
+++ b/medlardoor/platform/program.py
@@ -8,6 +8,7 @@
 import logbook
 
 from medlardoor import logs
+from medlardoor.mesh import loop_monitor
 from medlardoor.mesh import node as node_module
 from medlardoor.platform import documents, heartbeats, names, settings, store
 
@@ -30,7 +31,11 @@
     platform = loaded.platform.platform
     objects = store.PlatformStore(platform.address, platform.valueBytes)
     node = node_module.Node(
-        mesh, objects, names.CONFIG_KEY, documents.ConfigDecoder()
+        mesh,
+        objects,
+        names.CONFIG_KEY,
+        documents.ConfigDecoder(),
+        loop_monitor.SignalAlarm(),
     )
     control = heartbeats.HeartbeatHandler(
         mesh, node.register, node.handle_upstream_change
