--- a/medlardoor/mesh/listening.py
+++ b/medlardoor/mesh/listening.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import functools
+import socket
 
 import logbook
 
@@ -41,16 +42,29 @@
 ) -> asyncio.Server:
     """Accepts connections at an address.
 
+    The event loop gets a bound socket: given a host, it starts four threads to
+    look it up, even if it is numeric.
+
     Args:
-        address: Listen address.
+        address: Listen address; its host is an IP address.
         make_protocol: Returns the protocol of a new connection.
 
     Raises:
         OSError: The address cannot be listened on.
     """
-    return await asyncio.get_running_loop().create_server(
-        make_protocol, address.host, address.port, backlog=LISTEN_BACKLOG
+    is_ipv6 = ":" in address.host
+    listener = socket.create_server(
+        (address.host, address.port),
+        family=socket.AF_INET6 if is_ipv6 else socket.AF_INET,
+        backlog=LISTEN_BACKLOG,
     )
+    try:
+        return await asyncio.get_running_loop().create_server(
+            make_protocol, sock=listener, backlog=LISTEN_BACKLOG
+        )
+    except BaseException:
+        listener.close()
+        raise
 
 
 class Listeners:
--- a/medlardoor/platform/tests/node_process.py
+++ b/medlardoor/platform/tests/node_process.py
@@ -232,6 +232,10 @@
                 self.most_descriptors, len(os.listdir(path))
             )
 
+    def count_threads(self) -> int:
+        """Number of threads of the process."""
+        return len(os.listdir(f"/proc/{self._process.process_id}/task"))
+
     async def wait_until(self, condition):
         """Waits for an asynchronous condition; whether it came true."""
         until = asyncio.get_running_loop().time() + WAIT_S
