--- a/medlardoor/node/main.py
+++ b/medlardoor/node/main.py
@@ -8,7 +8,7 @@
 import anyio.abc
 import logbook
 
-from medlardoor import logs
+from medlardoor import event_loops, logs
 from medlardoor.blackboard import topics
 from medlardoor.config import settings as settings_module
 from medlardoor.node import apps, assembly, parts
@@ -33,7 +33,7 @@
     incarnation = time.time_ns() // 1_000_000
     anyio.run(
         functools.partial(run_node, settings, incarnation),
-        backend_options={"use_uvloop": True},
+        backend_options=event_loops.BACKEND_OPTIONS,
     )
 
 
--- a/medlardoor/platform/program.py
+++ b/medlardoor/platform/program.py
@@ -7,7 +7,7 @@
 import anyio
 import logbook
 
-from medlardoor import logs
+from medlardoor import event_loops, logs
 from medlardoor.mesh import loop_monitor
 from medlardoor.mesh import node as node_module
 from medlardoor.platform import documents, heartbeats, names, settings, store
@@ -87,5 +87,7 @@
     if loaded.is_err():
         sys.stderr.write(loaded.err_value.message + "\n")
         return INVALID_SETTINGS
-    anyio.run(_run, loaded.ok_value, path, backend_options={"use_uvloop": True})
+    anyio.run(
+        _run, loaded.ok_value, path, backend_options=event_loops.BACKEND_OPTIONS
+    )
     return 0
