--- a/medlardoor/adoption/watching.py
+++ b/medlardoor/adoption/watching.py
@@ -8,7 +8,7 @@
 from medlardoor import errors
 from medlardoor.adoption import controller as controller_module
 from medlardoor.config import settings as settings_module
-from medlardoor.store import client
+from medlardoor.store import client, pacing
 
 __all__ = ["DocumentWatcher"]
 
@@ -66,7 +66,9 @@
 
     async def run(self) -> None:
         """Runs until cancelled."""
+        rounds = pacing.RoundPacer()
         while True:
+            await rounds.wait()
             await self.step()
 
     async def step(self) -> None:
--- a/medlardoor/mesh/document_watch.py
+++ b/medlardoor/mesh/document_watch.py
@@ -12,7 +12,7 @@
 from medlardoor import errors, logs
 from medlardoor.mesh import documents
 from medlardoor.mesh import settings as settings_module
-from medlardoor.store import client
+from medlardoor.store import client, pacing
 
 __all__ = ["DocumentWatch", "WatchOutcome"]
 
@@ -103,7 +103,9 @@
         """Reads the document and watches it until cancelled."""
         pause_s = MIN_RETRY_PAUSE_S
         version = 0
+        rounds = pacing.RoundPacer()
         while True:
+            await rounds.wait()
             called_at = anyio.current_time()
             if version == 0:
                 read = await self._store.read(self._key)
--- a/medlardoor/platform/store.py
+++ b/medlardoor/platform/store.py
@@ -13,7 +13,7 @@
 from medlardoor import errors, logs
 from medlardoor.mesh import settings as mesh_settings
 from medlardoor.platform import names, objects
-from medlardoor.store import calls, client, versions
+from medlardoor.store import calls, client, pacing, versions
 
 __all__ = ["PlatformStore"]
 
@@ -68,6 +68,7 @@
         self._era: int | None = None
         # Version up to which the events of a watched object are known.
         self._seen: dict[str, int] = {}
+        self._rounds = pacing.RoundPacer()
 
     @property
     def era(self) -> int | None:
@@ -192,6 +193,7 @@
         after = max(after_version, self._seen.get(key, 0))
         ends_at = anyio.current_time() + wait_s
         while True:
+            await self._rounds.wait()
             left_s = max(0.0, ends_at - anyio.current_time())
             watched = await self._watch_once(key, after, left_s)
             if watched.is_err():
