--- a/medlardoor/platform/program.py
+++ b/medlardoor/platform/program.py
@@ -21,10 +21,6 @@
 
 STANDARD_OUTPUT = 1
 
-# New objects between two garbage collections. Completed calls leave no
-# reference cycles, so few collections free anything.
-COLLECTION_THRESHOLD = 20_000
-
 
 async def _run(loaded: settings.PlatformSettings, path: str) -> None:
     mesh = settings.to_mesh(loaded)
