--- a/medlardoor/mesh/loop_monitor.py
+++ b/medlardoor/mesh/loop_monitor.py
@@ -87,10 +87,6 @@
     def take_samples(self) -> Samples:
         """Returns the samples since the last call."""
 
-    @abc.abstractmethod
-    def close(self) -> None:
-        """Ends samples and reports."""
-
 
 class NoAlarm(StallAlarm):
     """Alarm of a process whose signals belong to others."""
@@ -102,21 +98,20 @@
         """Returns no samples."""
         return Samples(0, collections.Counter(), 0)
 
-    def close(self) -> None:
-        """Does nothing."""
-
 
 class SignalAlarm(StallAlarm):
     """Alarm by SIGALRM, whose handler runs between two Python instructions.
 
-    It must be created in the main thread. A loop inside of a C function is not
-    interrupted and not reported.
+    It must be created in the main thread, while the event loop runs, and closed
+    before the loop ends. A loop inside of a C function is not interrupted and
+    not reported.
     """
 
     def __init__(self):
         self._outside = 0
         self._running: collections.Counter[str] = collections.Counter()
         self._samples_since_check = 0
+        self._is_reported = False
         signal.signal(signal.SIGALRM, self._handle)
         signal.setitimer(
             signal.ITIMER_REAL, SAMPLE_INTERVAL_S, SAMPLE_INTERVAL_S
@@ -125,6 +120,7 @@
     def postpone(self) -> None:
         """Begins the time until a report again; see `StallAlarm`."""
         self._samples_since_check = 0
+        self._is_reported = False
 
     def take_samples(self) -> Samples:
         """Returns the samples since the last call; see `StallAlarm`."""
@@ -147,7 +143,9 @@
             self._outside += 1
             return
         self._running[_name(frame.f_code)] += 1
-        if self._samples_since_check == int(STALL_S / SAMPLE_INTERVAL_S):
+        silent_s = self._samples_since_check * SAMPLE_INTERVAL_S
+        if silent_s >= STALL_S and not self._is_reported:
+            self._is_reported = True
             logs.log_event(
                 _LOG,
                 logbook.WARNING,
@@ -216,10 +214,6 @@
         if now - self._window_at >= WINDOW_S:
             self._end_window(now)
 
-    def close(self) -> None:
-        """Ends the observation."""
-        self._alarm.close()
-
     def _end_window(self, now: float) -> None:
         elapsed_s = now - self._window_at
         self._window_at = now
--- a/medlardoor/mesh/node.py
+++ b/medlardoor/mesh/node.py
@@ -233,7 +233,6 @@
                 self._lending.depart()
                 group.cancel_scope.cancel()
         finally:
-            self._monitor.close()
             self._listeners.close()
             self._fleet.close()
 
--- a/medlardoor/platform/program.py
+++ b/medlardoor/platform/program.py
@@ -23,6 +23,18 @@
 
 
 async def _run(loaded: settings.PlatformSettings, path: str) -> None:
+    alarm = loop_monitor.SignalAlarm()
+    try:
+        await _run_node(loaded, path, alarm)
+    finally:
+        alarm.close()
+
+
+async def _run_node(
+    loaded: settings.PlatformSettings,
+    path: str,
+    alarm: loop_monitor.StallAlarm,
+) -> None:
     mesh = settings.to_mesh(loaded)
     platform = loaded.platform.platform
     objects = store.PlatformStore(platform.address, platform.valueBytes)
@@ -31,7 +43,7 @@
         objects,
         names.CONFIG_KEY,
         documents.ConfigDecoder(),
-        loop_monitor.SignalAlarm(),
+        alarm,
     )
     control = heartbeats.HeartbeatHandler(
         mesh, node.register, node.handle_upstream_change
