--- a/medlardoor/mesh/tests/group.py
+++ b/medlardoor/mesh/tests/group.py
@@ -226,10 +226,12 @@
     async def start_node(self, task_group):
         self.scope = anyio.CancelScope()
         self.stop = anyio.Event()
-        # A process draws its seed when it starts; crash identifiers depend on
-        # it.
+        # A process draws its seed and its incarnation when it starts; crash
+        # identifiers depend on the one, reminders of departures on the other.
         self.settings = dataclasses.replace(
-            self.settings, seed=self.settings.seed + 1
+            self.settings,
+            seed=self.settings.seed + 1,
+            incarnation=self.settings.incarnation + 1,
         )
         self.node = node.Node(
             self.settings,
