--- a/medlardoor/event_loops.py
+++ b/medlardoor/event_loops.py
@@ -47,7 +47,7 @@
         if 0.0 < delay_s < math.inf:
             delay_ms = math.ceil(delay_s * _MS_PER_S - _ROUNDING_ERROR_MS)
             # The clock must show a time that is not before `when`.
-            while (round(now * _MS_PER_S) + delay_ms) / _MS_PER_S < when:
+            if (round(now * _MS_PER_S) + delay_ms) / _MS_PER_S < when:
                 delay_ms += 1
             delay_s = delay_ms / _MS_PER_S
         return self.call_later(delay_s, callback, *args, context=context)
--- a/tests/test_event_loops.py
+++ b/tests/test_event_loops.py
@@ -57,3 +57,12 @@
 
     late_s = anyio.run(measure, backend_options=event_loops.BACKEND_OPTIONS)
     assert late_s >= 0.0
+
+
+def test_timer_for_a_distant_time_is_set_at_once():
+    """A time that whole milliseconds cannot express takes forever to round."""
+
+    async def set_timer():
+        backend.get_running_loop().call_at(1e30, list).cancel()
+
+    anyio.run(set_timer, backend_options=event_loops.BACKEND_OPTIONS)
